--- a/apps/daemon/src/daemon.cc
+++ b/apps/daemon/src/daemon.cc
@@ -23,6 +23,7 @@
 #include "sapphirewheel/transport/platform_client.h"
 #include "sapphirewheel/transport/telemetry.h"
 #include "sapphirewheel/transport/worker_client.h"
+#include "signal_watch.h"
 
 namespace sapphirewheel {
 namespace {
@@ -70,32 +71,6 @@
                "send the request again later or to another node", RunState::kNotRun, Millis(1000)};
 }
 
-// Waits for SIGTERM and SIGINT on a thread of its own, since handlers may not take locks.
-class SignalWatch {
- public:
-  explicit SignalWatch(std::function<void()> on_stop) {
-    sigemptyset(&set_);
-    sigaddset(&set_, SIGTERM);
-    sigaddset(&set_, SIGINT);
-    sigaddset(&set_, SIGUSR1);
-    pthread_sigmask(SIG_BLOCK, &set_, nullptr);
-    thread_ = std::thread([this, on_stop = std::move(on_stop)] {
-      int number = 0;
-      while (sigwait(&set_, &number) == 0 && number != SIGUSR1) on_stop();
-    });
-  }
-  ~SignalWatch() {
-    pthread_kill(thread_.native_handle(), SIGUSR1);
-    thread_.join();
-  }
-  SignalWatch(const SignalWatch&) = delete;
-  SignalWatch& operator=(const SignalWatch&) = delete;
-
- private:
-  sigset_t set_{};
-  std::thread thread_;
-};
-
 }  // namespace
 
 // One incarnation with the clients that call for it. Callbacks that come after its end are dropped.
@@ -261,7 +236,7 @@
 Daemon::~Daemon() = default;
 
 int Daemon::Run() {
-  SignalWatch signals([this] { impl_->stop_requested = true; });
+  SignalWatch signals([this](int) { impl_->stop_requested = true; }, {SIGTERM, SIGINT});
   auto telemetry = Telemetry::Start(TelemetrySettings(impl_->settings));
   if (!telemetry) return StartFailed(telemetry.error());
   CoreLoop& loop = impl_->loop;
--- /dev/null
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -0,0 +1,297 @@
+#include "deployed_daemon.h"
+
+#include <openssl/rand.h>
+#include <signal.h>
+#include <time.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <memory>
+
+#include "core_loop.h"
+#include "sapphirewheel/coordination/entry_node.h"
+#include "sapphirewheel/platform/deployment_settings.h"
+#include "sapphirewheel/platform/gateways.h"
+#include "sapphirewheel/platform/ingress.h"
+#include "sapphirewheel/transport/events.h"
+#include "sapphirewheel/transport/telemetry.h"
+#include "signal_watch.h"
+
+namespace sapphirewheel {
+namespace {
+
+// Orders and store answers that may wait for the node's thread.
+constexpr std::size_t kRingCapacity = 8192;
+// The platform stops sending connections after two readiness checks, one each second.
+constexpr Millis kDrainNotice{2300};
+// The process ends this long before the platform would kill it.
+constexpr Millis kGraceReserve{1000};
+// Kept connections to backend servers and the store are reused for this long, as new ones cost.
+constexpr Millis kKeepIdle{120'000};
+constexpr Millis kConnectTimeout{600};
+// Runs go on for this long after the owner's last order, so that they outlast a change of owner.
+constexpr Millis kWantedLease{6000};
+// Clock drift of backend servers eats into the longest lease that they grant.
+constexpr Millis kLeaseReserve{200};
+
+// Goes on while the VM is suspended, unlike the steady clock, so that a lease cannot outlast a
+// suspension unnoticed.
+MonotonicTime BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  constexpr std::int64_t kNanosPerMilli = 1'000'000;
+  return MonotonicTime(Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli));
+}
+
+UnixMillis WallClock() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return UnixMillis(std::chrono::duration_cast<Millis>(now).count());
+}
+
+NodeId NewNodeId(const VmId& vm) {
+  std::uint32_t n = 0;
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(&n), sizeof n) != 1) std::abort();
+  char buf[9];
+  std::snprintf(buf, sizeof buf, "%08x", n);
+  return NodeId(vm.str() + "#" + buf);
+}
+
+Event EventOf(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kJobTaken:
+      return Event::kJobTaken;
+    case DecisionKind::kJobEnded:
+      return Event::kJobEnded;
+    case DecisionKind::kTaskStarted:
+      return Event::kTaskStarted;
+    case DecisionKind::kTaskEnded:
+      return Event::kTaskEnded;
+    case DecisionKind::kTaskLost:
+      return Event::kTaskLost;
+    case DecisionKind::kTaskStopped:
+      return Event::kTaskStopped;
+    case DecisionKind::kBackendSeen:
+      return Event::kBackendSeen;
+    case DecisionKind::kBackendSuspect:
+      return Event::kBackendSuspect;
+    case DecisionKind::kBackendGone:
+      return Event::kBackendGone;
+    case DecisionKind::kFenced:
+      return Event::kOwnerFenced;
+  }
+  return Event::kInternalFault;
+}
+
+Event EventOf(NodeEvent event) {
+  switch (event) {
+    case NodeEvent::kConfigTaken:
+      return Event::kConfigApplied;
+    case NodeEvent::kStoreAvailable:
+      return Event::kPlatformAvailable;
+    case NodeEvent::kStoreUnavailable:
+      return Event::kPlatformUnavailable;
+    case NodeEvent::kOwnershipTaken:
+      return Event::kOwnershipTaken;
+    case NodeEvent::kOwnershipLost:
+      return Event::kOwnershipLost;
+    case NodeEvent::kOwnershipEnded:
+      return Event::kOwnershipEnded;
+    case NodeEvent::kLoaded:
+      return Event::kOwnerLoaded;
+    case NodeEvent::kWave:
+      return Event::kMaintenance;
+    case NodeEvent::kJobAccepted:
+      return Event::kCallAccepted;
+    case NodeEvent::kJobCancelled:
+      return Event::kCallCancelled;
+    case NodeEvent::kJobUnreadable:
+      return Event::kJobUnreadable;
+    case NodeEvent::kCallRefused:
+      return Event::kCallRefused;
+    case NodeEvent::kCallUnanswered:
+      return Event::kCallUnanswered;
+  }
+  return Event::kInternalFault;
+}
+
+void LogDecision(const Decision& decision) {
+  if (decision.task.empty()) {
+    Log(EventOf(decision.kind), {{"job", decision.job.str()},
+                                 {"backend", decision.backend.str()},
+                                 {"detail", decision.detail}});
+    return;
+  }
+  Log(EventOf(decision.kind), {{"task", decision.task},
+                               {"run", std::to_string(decision.run.count())},
+                               {"backend", decision.backend.str()},
+                               {"detail", decision.detail}});
+}
+
+EntryNode::Settings NodeSettings(const platform::DeploymentSettings& given, const NodeId& self) {
+  EntryNode::Settings settings;
+  settings.self = self;
+  // Both ages leave room for the way of a call and of the feed's answer.
+  constexpr Millis kAnswerReserve{1200};
+  constexpr Millis kRefusalReserve{400};
+  settings.desk.key_freshness = given.withdrawal_bound - kAnswerReserve;
+  settings.desk.refusal_freshness = std::max(given.config_bound - kRefusalReserve, Millis(0));
+  settings.lease.self = self;
+  settings.lease.lease = given.ownership_lease;
+  // Spreads the attempts of the nodes to take over.
+  constexpr std::size_t kSpreadMs = 300;
+  constexpr Millis kLeastMargin{300};
+  settings.lease.takeover_margin =
+      kLeastMargin + Millis(static_cast<std::int64_t>(std::hash<NodeId>{}(self) % kSpreadMs));
+  settings.owner.dispatcher.lease = std::min(kWantedLease, given.longest_lease - kLeaseReserve);
+  settings.owner.state_kept = given.state_kept;
+  settings.owner.maintenance_time = given.maintenance_time;
+  return settings;
+}
+
+class DeployedDaemon {
+ public:
+  explicit DeployedDaemon(platform::DeploymentSettings settings)
+      : settings_(std::move(settings)),
+        self_(NewNodeId(settings_.vm)),
+        loop_(kRingCapacity),
+        client_(ClientSettings()),
+        store_(client_, settings_.table_service, Post()),
+        backends_(client_, Post()) {
+    if (settings_.vm_service) {
+      vms_ =
+          std::make_unique<platform::HttpVmService>(client_, *settings_.vm_service, self_, Post());
+    }
+    FleetPorts ports{store_,
+                     backends_,
+                     vms_.get(),
+                     reader_,
+                     WallClock,
+                     BootTime,
+                     LogDecision,
+                     [](NodeEvent event, const std::string& detail) {
+                       Log(EventOf(event), {{"detail", detail}});
+                     }};
+    node_ = std::make_unique<EntryNode>(NodeSettings(settings_, self_), std::move(ports));
+    ingress_ = std::make_unique<platform::Ingress>(
+        settings_, [this](const CallerCall& call, const platform::Ingress::Respond& respond) {
+          const bool queued =
+              loop_.TryPost([this, call, respond] { node_->Handle(call, respond); });
+          if (!queued) respond(Overloaded());
+        });
+  }
+
+  Result<void> Start() { return ingress_->Start(); }
+
+  void Run(const std::atomic<bool>& stop_requested) {
+    CoreLoop::Hooks hooks;
+    hooks.tick = [&] { Tick(stop_requested); };
+    hooks.after_batch = [] {};
+    loop_.Run(hooks);
+    ingress_->Stop();
+    client_.Stop();
+  }
+
+  const NodeId& self() const { return self_; }
+
+ private:
+  static HttpClient::Settings ClientSettings() {
+    HttpClient::Settings settings;
+    settings.keep_idle = kKeepIdle;
+    settings.connect_timeout = kConnectTimeout;
+    return settings;
+  }
+
+  PostFunction Post() {
+    return [this](std::function<void()> task) { loop_.Post(std::move(task)); };
+  }
+
+  static CallerReply Overloaded() {
+    constexpr Millis kRetryAfter{1000};
+    CallerReply reply;
+    reply.error =
+        Error{ErrorKind::kOverloaded, "this node has too many calls waiting",
+              "send the request to another node, or again later", RunState::kNotRun, kRetryAfter};
+    return reply;
+  }
+
+  void Tick(bool stop_requested) {
+    const MonotonicTime now = BootTime();
+    node_->Tick(now);
+    const bool ready = node_->Ready(now) && !stop_requested;
+    if (ready != ready_) {
+      ready_ = ready;
+      ingress_->SetReady(ready);
+      Log(ready ? Event::kReady : Event::kNotFresh, {{"node", self_.str()}});
+    }
+    if (!stop_requested) return;
+    if (!stopping_since_) {
+      stopping_since_ = now;
+      Log(Event::kStopping, {{"node", self_.str()}, {"owner", node_->owner() ? "yes" : "no"}});
+      node_->BeginStop();
+    }
+    const Millis passed = now - *stopping_since_;
+    if (passed > kDrainNotice && !refusing_) {
+      refusing_ = true;
+      ingress_->StopAccepting();
+    }
+    const bool drained = refusing_ && ingress_->ActiveRequests() == 0 && !node_->owner();
+    if (drained || passed > settings_.stop_grace - kGraceReserve) loop_.Stop();
+  }
+
+  const platform::DeploymentSettings settings_;
+  const NodeId self_;
+  CoreLoop loop_;
+  HttpClient client_;
+  platform::HttpRowStore store_;
+  platform::HttpBackendServers backends_;
+  std::unique_ptr<platform::HttpVmService> vms_;
+  platform::WireReader reader_;
+  std::unique_ptr<EntryNode> node_;
+  std::unique_ptr<platform::Ingress> ingress_;
+  bool ready_ = false;
+  bool refusing_ = false;
+  std::optional<MonotonicTime> stopping_since_;
+};
+
+int Refuse(const Error& error) {
+  Log(Event::kSettingsInvalid, {{"fault", error.message}, {"remedy", error.remedy}});
+  std::cerr << "sapphirewheeld: " << error.message << "; " << error.remedy << "\n";
+  return 1;
+}
+
+}  // namespace
+
+int RunDeployedDaemon(const DaemonSettings& settings) {
+  signal(SIGPIPE, SIG_IGN);
+  std::atomic<bool> stop_requested = false;
+  SignalWatch signals(
+      [&](int number) {
+        if (number != SIGHUP) {
+          stop_requested = true;
+          return;
+        }
+        // Addresses are bound for the life of the process; the rest is read at the next start.
+        const auto read = platform::LoadDeploymentSettings(settings.deployment_file);
+        Log(Event::kSettingsReloaded, {{"valid", read ? "yes" : "no"}});
+      },
+      {SIGTERM, SIGINT, SIGHUP});
+  Telemetry::Settings telemetry_settings;
+  telemetry_settings.standard_output = true;
+  if (settings.log_level == "warn") telemetry_settings.least_level = EventLevel::kWarning;
+  if (settings.log_level == "error") telemetry_settings.least_level = EventLevel::kError;
+  auto telemetry = Telemetry::Start(telemetry_settings);
+  if (!telemetry) return Refuse(telemetry.error());
+  auto loaded = platform::LoadDeploymentSettings(settings.deployment_file);
+  if (!loaded) return Refuse(loaded.error());
+  DeployedDaemon daemon(std::move(loaded.value()));
+  if (auto started = daemon.Start(); !started) return Refuse(started.error());
+  Log(Event::kStarted, {{"node", daemon.self().str()}, {"version", kVersion}});
+  daemon.Run(stop_requested);
+  Log(Event::kStopped, {{"node", daemon.self().str()}});
+  return 0;
+}
+
+}  // namespace sapphirewheel
--- a/apps/daemon/src/settings.cc
+++ b/apps/daemon/src/settings.cc
@@ -102,6 +102,9 @@
 };
 
 void AddIdentity(CLI::App& app, RawSettings& raw, DaemonSettings& settings) {
+  app.add_option("--deployment-file", settings.deployment_file,
+                 "settings file of the users' platform, in place of the addresses below")
+      ->envname("SAPPHIREWHEEL_DEPLOYMENT_FILE");
   app.add_option("--vm", raw.vm, "id of this entry VM")->envname("SAPPHIREWHEEL_VM");
   app.add_option("--data-centre", raw.data_centre, "data centre of this VM")
       ->envname("SAPPHIREWHEEL_DATA_CENTRE");
@@ -206,6 +209,7 @@
 }
 
 Result<void> Convert(const RawSettings& raw, DaemonSettings& settings) {
+  if (!settings.deployment_file.empty()) return boost::outcome_v2::success();
   if (raw.vm.empty()) return Wrong("--vm is missing", "give the id of this VM");
   if (raw.vm.find('#') != std::string::npos || raw.vm.find('/') != std::string::npos) {
     return Wrong("--vm \"" + raw.vm + "\" contains '#' or '/'", "use letters, digits and '-'");
--- a/apps/daemon/src/settings.h
+++ b/apps/daemon/src/settings.h
@@ -13,6 +13,9 @@
 
 // All settings of a daemon, checked.
 struct DaemonSettings {
+  // Settings that the users' platform writes; when set, the daemon serves that platform and takes
+  // addresses and bounds from there.
+  std::string deployment_file;
   VmId vm;
   DataCentreId data_centre;
   Endpoint listen;
