--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -28,10 +28,10 @@
 // Accepted jobs are spread over this many parts by their id.
 inline constexpr int kJobParts = 16;
 [[nodiscard]] std::string JobPart(const JobId& id);
-[[nodiscard]] RowKey Job(const JobId& id);
-[[nodiscard]] RowKey Progress(const JobId& id);
-[[nodiscard]] RowKey Owner();
-[[nodiscard]] RowKey Owned(const std::string& key);
+[[nodiscard]] RowAddress Job(const JobId& id);
+[[nodiscard]] RowAddress Progress(const JobId& id);
+[[nodiscard]] RowAddress Owner();
+[[nodiscard]] RowAddress Owned(const std::string& key);
 }  // namespace rows
 
 // Counts of waiting jobs as the owner writes them for the other nodes.
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -18,16 +18,16 @@
 // Steady clock of the table service, in milliseconds.
 using StoreClock = StrongNumber<struct StoreClockTag, std::int64_t>;
 
-struct RowKey {
+struct RowAddress {
   std::string table;
   // Transactions stay within one part.
   std::string part;
   std::string key;
-  auto operator<=>(const RowKey&) const = default;
+  auto operator<=>(const RowAddress&) const = default;
 };
 
 struct StoredRow {
-  RowKey at;
+  RowAddress at;
   std::string value;
   Revision revision;
   // The row was removed; only in answers of Follow.
@@ -48,9 +48,9 @@
 
 struct RowTransaction {
   // Rows with the revision that they must have; 0: absent.
-  std::vector<std::pair<RowKey, Revision>> expected;
-  std::vector<std::pair<RowKey, std::string>> writes;
-  std::vector<RowKey> removes;
+  std::vector<std::pair<RowAddress, Revision>> expected;
+  std::vector<std::pair<RowAddress, std::string>> writes;
+  std::vector<RowAddress> removes;
 };
 
 struct RowsAnswer {
@@ -138,8 +138,8 @@
   // What a caller submits. Errors: kInvalidArgument.
   [[nodiscard]] virtual Result<WorkSpec> Submission(const std::string& body) const = 0;
   // The row that tells operators how far a wave is.
-  [[nodiscard]] virtual std::pair<RowKey, std::string> WaveStatus(std::int64_t wave,
-                                                                  bool completed) const = 0;
+  [[nodiscard]] virtual std::pair<RowAddress, std::string> WaveStatus(std::int64_t wave,
+                                                                      bool completed) const = 0;
 };
 
 }  // namespace sapphirewheel
--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -18,12 +18,6 @@
 // backend servers list what runs.
 class JobProgress {
  public:
-  struct Failures {
-    int count = 0;
-    // Failed runs up to this one are counted.
-    RunNumber last_run;
-  };
-
   JobOutcome outcome = JobOutcome::kOpen;
 
   // Returns false when it was marked before.
@@ -49,8 +43,9 @@
   using StepKey = std::pair<int, int>;
 
   std::map<StepKey, std::set<int>> done_;
-  // Occurrence, step, index.
-  std::map<std::tuple<int, int, int>, Failures> failures_;
+  // Failed runs by occurrence, step and index. Each run is kept, as a new owner meets the ends of
+  // several backend servers in any order.
+  std::map<std::tuple<int, int, int>, std::set<RunNumber>> failures_;
   std::set<int> finished_;
 };
 
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -49,7 +49,7 @@
   impl_->place_due = true;
   impl_->pool_index_valid = false;
   if (!slot) {
-    slot = std::make_unique<Backend>();
+    slot = std::make_unique<BackendEntry>();
     slot->report = report;
     slot->next_look = now;
     slot->last_answer = now;
@@ -57,11 +57,8 @@
                   "registered in pool " + report.pool.str());
     return;
   }
-  Backend& backend = *slot;
-  const bool known = backend.report.born.count() != 0;
-  if (known && report.born.count() != 0 && report.born > backend.report.born) {
-    impl_->Reborn(backend, "registered a new start");
-  }
+  BackendEntry& backend = *slot;
+  if (report.born > backend.report.born) impl_->Reborn(backend, report.born);
   const UnixMillis born = std::max(backend.report.born, report.born);
   backend.report = report;
   backend.report.born = born;
@@ -70,7 +67,7 @@
 
 void Dispatcher::RemoveBackend(const BackendId& id, MonotonicTime now) {
   impl_->now_ = now;
-  Backend* backend = impl_->FindBackend(id);
+  BackendEntry* backend = impl_->FindBackend(id);
   if (backend == nullptr || !backend->registered) return;
   backend->registered = false;
   impl_->Report(DecisionKind::kBackendGone, JobId(), "", id, RunNumber(), "no longer registered");
@@ -125,7 +122,7 @@
   for (const auto& [at, id] : rows) {
     const auto it = impl_->jobs.find(id);
     if (it == impl_->jobs.end()) continue;
-    Job& job = *it->second;
+    JobEntry& job = *it->second;
     if (written) {
       if (!job.IsOpen() && job.dirty_since == 0) job.end_written = true;
       continue;
@@ -149,24 +146,24 @@
 }
 
 void Dispatcher::SetEvacuating(const BackendId& id, bool evacuating) {
-  Backend* backend = impl_->FindBackend(id);
+  BackendEntry* backend = impl_->FindBackend(id);
   if (backend == nullptr || backend->evacuating == evacuating) return;
   backend->evacuating = evacuating;
   impl_->place_due = true;
 }
 
 void Dispatcher::SetAvoided(const BackendId& id, bool avoided) {
-  if (Backend* backend = impl_->FindBackend(id)) backend->avoided = avoided;
+  if (BackendEntry* backend = impl_->FindBackend(id)) backend->avoided = avoided;
 }
 
 bool Dispatcher::IsIdle(const BackendId& id) const {
-  const Backend* backend = impl_->FindBackend(id);
+  const BackendEntry* backend = impl_->FindBackend(id);
   return backend == nullptr || (backend->listed && !backend->HasRuns());
 }
 
 void Dispatcher::BackendEnded(const BackendId& id, MonotonicTime now) {
   impl_->now_ = now;
-  Backend* backend = impl_->FindBackend(id);
+  BackendEntry* backend = impl_->FindBackend(id);
   if (backend == nullptr) return;
   impl_->LoseRuns(*backend, "the platform has ended it");
   backend->registered = false;
@@ -198,8 +195,8 @@
   const auto it = impl_->jobs.find(id);
   if (it == impl_->jobs.end() || it->second->IsOpen()) return;
   for (const auto& [number, occurrence] : it->second->open) {
-    for (const Step& step : occurrence.steps) {
-      for (const Task& task : step.tasks) {
+    for (const StepState& step : occurrence.steps) {
+      for (const TaskState& task : step.tasks) {
         if (task.backend != nullptr) return;
       }
     }
@@ -215,7 +212,7 @@
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         if (!occurrence.steps[n].ready) continue;
-        for (const Task& it : occurrence.steps[n].tasks) {
+        for (const TaskState& it : occurrence.steps[n].tasks) {
           if (it.phase != TaskPhase::kWaiting) continue;
           backlog[queue->pool] += job->stored.spec.steps[n].Charge().cpu_millis;
         }
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -5,7 +5,7 @@
 namespace sapphirewheel {
 namespace {
 
-// Backend servers list at most this many ends in one answer.
+// BackendEntry servers list at most this many ends in one answer.
 constexpr std::size_t kEndsPerLook = 500;
 // Failed runs of this many different jobs in a row put the blame on the backend server.
 constexpr std::size_t kBlameAfter = 3;
@@ -23,12 +23,12 @@
 
 }  // namespace
 
-Backend* Dispatcher::Impl::FindBackend(const BackendId& id) {
+BackendEntry* Dispatcher::Impl::FindBackend(const BackendId& id) {
   const auto it = backends.find(id);
   return it == backends.end() ? nullptr : it->second.get();
 }
 
-void Dispatcher::Impl::Charge(const TaskKey& key, const TaskRef& ref, Backend& backend) {
+void Dispatcher::Impl::Charge(const TaskKey& key, const TaskRef& ref, BackendEntry& backend) {
   ref.task->backend = &backend;
   backend.tasks.insert(key);
   backend.used += ref.spec->Charge();
@@ -39,9 +39,9 @@
 }
 
 void Dispatcher::Impl::Release(const TaskKey& key, const TaskRef& ref, TaskPhase next) {
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   if (task.backend != nullptr) {
-    Backend& backend = *task.backend;
+    BackendEntry& backend = *task.backend;
     backend.tasks.erase(key);
     backend.used -= ref.spec->Charge();
     backend.lasting_tasks -= ref.spec->lasting ? 1 : 0;
@@ -66,7 +66,7 @@
 }
 
 void Dispatcher::Impl::BeginStop(const TaskKey& key, const TaskRef& ref) {
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   if (task.backend == nullptr || task.phase == TaskPhase::kStopping) return;
   task.phase = TaskPhase::kStopping;
   task.order_in_flight = false;
@@ -76,7 +76,7 @@
          ref.job->IsOpen() ? "moved" : OutcomeName(ref.job->progress.outcome));
 }
 
-void Dispatcher::Impl::Answered(Backend& backend, const std::optional<BackendClock>& clock) {
+void Dispatcher::Impl::Answered(BackendEntry& backend, const std::optional<BackendClock>& clock) {
   backend.last_answer = now_;
   if (clock) {
     backend.clock = clock;
@@ -93,7 +93,7 @@
   }
 }
 
-void Dispatcher::Impl::Failed(Backend& backend) {
+void Dispatcher::Impl::Failed(BackendEntry& backend) {
   backend.failing = true;
   if (!backend.suspect_reported && now_ - backend.last_answer > settings.suspect_after) {
     backend.suspect_reported = true;
@@ -102,20 +102,20 @@
   }
 }
 
-BackendClock Dispatcher::Impl::LeaseFor(const Backend& backend) const {
+BackendClock Dispatcher::Impl::LeaseFor(const BackendEntry& backend) const {
   const Millis passed = now_ - backend.clock_read;
   return BackendClock(backend.clock->count() + passed.count() + settings.lease.count());
 }
 
-void Dispatcher::Impl::ExtendLease(Backend& backend) {
+void Dispatcher::Impl::ExtendLease(BackendEntry& backend) {
   backend.lease_end = std::max(backend.lease_end, now_ + LeaseBound());
 }
 
-void Dispatcher::Impl::HandleEnd(Backend& backend, const ListedEnd& end) {
+void Dispatcher::Impl::HandleEnd(BackendEntry& backend, const ListedEnd& end) {
   if (backend.strays.erase({end.task, end.run}) > 0) place_due = true;
   const TaskRef ref = Find(end.task);
   if (!ref) return;
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   const bool current = task.backend == &backend && task.run == end.run;
   if (current && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   Report(DecisionKind::kTaskEnded, end.task.job, end.task.str(), backend.report.id, end.run,
@@ -139,10 +139,10 @@
   }
 }
 
-void Dispatcher::Impl::HandleDone(Backend& backend, const ListedEnd& end, const TaskRef& ref,
+void Dispatcher::Impl::HandleDone(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref,
                                   bool current) {
   backend.failed_jobs.clear();
-  Job& job = *ref.job;
+  JobEntry& job = *ref.job;
   const int members = ref.spec->gang ? ref.spec->count : 1;
   for (int n = 0; n < members; ++n) {
     TaskKey key = end.task;
@@ -150,7 +150,7 @@
     if (!job.IsOpen() || !job.progress.MarkDone(key)) continue;
     ++ref.step->done;
     Touch(job);
-    Task& task = ref.step->tasks[key.index];
+    TaskState& task = ref.step->tasks[key.index];
     if (task.phase == TaskPhase::kWaiting) task.phase = TaskPhase::kClosed;
     // Another copy of the task, or the rest of a gang, is not needed any more.
     const bool ended = current && key.index == end.task.index;
@@ -160,9 +160,9 @@
   if (job.IsOpen()) FinishStepIfDone(job, *ref.occurrence);
 }
 
-void Dispatcher::Impl::HandleFailed(Backend& backend, const ListedEnd& end, const TaskRef& ref,
+void Dispatcher::Impl::HandleFailed(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref,
                                     bool current) {
-  Job& job = *ref.job;
+  JobEntry& job = *ref.job;
   if (job.IsOpen() && !job.progress.IsDone(end.task)) {
     TaskKey counted = end.task;
     // A gang fails as a whole.
@@ -187,10 +187,10 @@
   }
 }
 
-void Dispatcher::Impl::HandleRunning(Backend& backend, const ListedRun& row) {
+void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
   const TaskRef ref = Find(row.task);
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
-    Task& task = *ref.task;
+    TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
       task.phase = TaskPhase::kRunning;
       task.confirmed = now_;
@@ -203,13 +203,16 @@
     if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
     return;
   }
-  const bool adoptable = ref && ref.task->phase == TaskPhase::kWaiting && ref.job->IsOpen() &&
-                         ref.step->ready && row.run > ref.task->run;
+  // Steps before it may be done by ends that other backend servers list later.
+  const bool adoptable = ref && ref.task->phase == TaskPhase::kWaiting && ref.job->IsOpen();
   if (adoptable) {
-    Task& task = *ref.task;
+    TaskState& task = *ref.task;
     Charge(row.task, ref, backend);
+    // An earlier owner may have extended the lease just before.
+    ExtendLease(backend);
     task.phase = TaskPhase::kRunning;
     task.run = row.run;
+    task.highest_run = std::max(task.highest_run, row.run);
     task.ordered = task.advanced = task.confirmed = now_;
     task.percent = row.percent;
     task.checkpoint = row.checkpoint;
@@ -220,6 +223,7 @@
   }
   const auto [it, added] = backend.strays.try_emplace({row.task, row.run});
   if (!added) return;
+  ExtendLease(backend);
   it->second.retry_at = now_;
   it->second.unknown_size = !ref;
   if (ref) it->second.charge = ref.spec->Charge();
@@ -228,13 +232,13 @@
 }
 
 // Settles the tasks that a look does not list though it was sent after their order was confirmed.
-void Dispatcher::Impl::SettleUnlisted(Backend& backend, const std::set<TaskKey>& listed,
+void Dispatcher::Impl::SettleUnlisted(BackendEntry& backend, const std::set<TaskKey>& listed,
                                       MonotonicTime sent) {
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
   for (const TaskKey& key : keys) {
     if (listed.count(key) > 0) continue;
     const TaskRef ref = Find(key);
-    Task& task = *ref.task;
+    TaskState& task = *ref.task;
     if (task.confirmed >= sent) continue;
     const bool stopped = task.phase == TaskPhase::kStopping && task.stop_confirmed;
     if (stopped || task.phase == TaskPhase::kRunning) {
@@ -249,7 +253,7 @@
                 [&](const auto& stray) { return listed.count(stray.first.first) == 0; });
 }
 
-void Dispatcher::Impl::LoseRuns(Backend& backend, const std::string& why) {
+void Dispatcher::Impl::LoseRuns(BackendEntry& backend, const std::string& why) {
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
   for (const TaskKey& key : keys) {
     const TaskRef ref = Find(key);
@@ -259,11 +263,12 @@
   backend.strays.clear();
 }
 
-// The backend server has started anew: nothing of before runs there, and its counts begin anew.
-void Dispatcher::Impl::Reborn(Backend& backend, const std::string& why) {
-  Report(DecisionKind::kBackendGone, JobId(), "", backend.report.id, RunNumber(), why);
-  LoseRuns(backend, why);
-  roster_pending.erase(backend.report.id);
+// The backend server has started anew under its id, and its counts begin anew. Which runs are gone
+// is settled by the lists of the new life, as some may have been started there already.
+void Dispatcher::Impl::Reborn(BackendEntry& backend, UnixMillis born) {
+  Report(DecisionKind::kBackendGone, JobId(), "", backend.report.id, RunNumber(),
+         "started again, born " + std::to_string(born.count()));
+  backend.report.born = born;
   backend.listed = false;
   backend.clock.reset();
   backend.ends_seen = backend.ends_acknowledged = backend.ends_sent = 0;
@@ -271,7 +276,18 @@
   backend.next_look = now_;
 }
 
-void Dispatcher::Impl::SendLook(Backend& backend) {
+// Another life under another id answers at the address, so this one is over.
+void Dispatcher::Impl::Replaced(BackendEntry& backend) {
+  LoseRuns(backend, "another life answers at its address");
+  roster_pending.erase(backend.report.id);
+  backend.listed = false;
+  backend.failing = true;
+  backend.unacknowledged.clear();
+  backend.ends_acknowledged = backend.ends_sent;
+  backend.next_look = now_ + kProbeInterval;
+}
+
+void Dispatcher::Impl::SendLook(BackendEntry& backend) {
   LookOrder order;
   order.backend = backend.report.id;
   order.address = backend.report.address;
@@ -290,7 +306,7 @@
 
 void Dispatcher::Impl::SendLooks() {
   for (auto& [id, backend] : backends) {
-    Backend& it = *backend;
+    BackendEntry& it = *backend;
     if (it.look_in_flight || now_ < it.next_look) continue;
     if (!it.registered && !it.HasRuns() && it.ends_sent >= it.ends_acknowledged) continue;
     const bool due =
@@ -300,7 +316,7 @@
 }
 
 void Dispatcher::Impl::SendStart(const TaskKey& key, const TaskRef& ref) {
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   task.order_in_flight = true;
   ExtendLease(*task.backend);
   hooks.start(StartOrder{task.backend->report.id, task.backend->report.address, settings.token, key,
@@ -309,10 +325,10 @@
 }
 
 // Repeats starts and stops without an answer.
-void Dispatcher::Impl::SendRetries(Backend& backend) {
+void Dispatcher::Impl::SendRetries(BackendEntry& backend) {
   for (const TaskKey& key : backend.tasks) {
     const TaskRef ref = Find(key);
-    Task& task = *ref.task;
+    TaskState& task = *ref.task;
     if (task.order_in_flight || now_ < task.retry_at) continue;
     if (task.phase == TaskPhase::kStarting) {
       task.order_in_flight = true;
@@ -336,7 +352,7 @@
 
 void Dispatcher::Impl::ExpireLeases() {
   std::erase_if(backends, [&](const auto& row) {
-    Backend& backend = *row.second;
+    BackendEntry& backend = *row.second;
     if (backend.HasRuns() && now_ > backend.lease_end) LoseRuns(backend, "its lease has ended");
     const bool forget = !backend.registered && !backend.HasRuns() && !backend.look_in_flight &&
                         backend.unacknowledged.empty() &&
@@ -350,12 +366,12 @@
   }
 }
 
-void Dispatcher::Impl::StopStuckTasks(Backend& backend) {
+void Dispatcher::Impl::StopStuckTasks(BackendEntry& backend) {
   if (backend.failing) return;
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
   for (const TaskKey& key : keys) {
     const TaskRef ref = Find(key);
-    const Task& task = *ref.task;
+    const TaskState& task = *ref.task;
     if (task.phase != TaskPhase::kRunning || ref.spec->lasting || ref.spec->gang ||
         ref.spec->fills) {
       continue;
@@ -370,7 +386,7 @@
 
 bool Dispatcher::Impl::BudgetAllowsStop(const TaskRef& ref) const {
   int away = 0;
-  for (const Task& it : ref.step->tasks) {
+  for (const TaskState& it : ref.step->tasks) {
     const bool at_work = it.phase == TaskPhase::kRunning && it.percent >= kFull;
     if (&it != ref.task && !at_work) ++away;
   }
@@ -378,7 +394,7 @@
 }
 
 // Moves lasting tasks away from a backend server that leaves or is due for maintenance.
-void Dispatcher::Impl::Evacuate(Backend& backend) {
+void Dispatcher::Impl::Evacuate(BackendEntry& backend) {
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
   for (const TaskKey& key : keys) {
     const TaskRef ref = Find(key);
@@ -395,7 +411,7 @@
 }
 
 // Slows the fillers beside a serving task whose tail nears its target.
-void Dispatcher::Impl::PaceFillers(Backend& backend) {
+void Dispatcher::Impl::PaceFillers(BackendEntry& backend) {
   if (backend.serving_tasks == 0 || backend.filling_tasks == 0 || !hooks.pace) return;
   double worst = 0;
   for (const TaskKey& key : backend.tasks) {
@@ -407,7 +423,7 @@
   }
   for (const TaskKey& key : backend.tasks) {
     const TaskRef ref = Find(key);
-    Task& task = *ref.task;
+    TaskState& task = *ref.task;
     if (!ref.spec->fills || task.phase != TaskPhase::kRunning) continue;
     int pace = task.pace;
     if (worst > kSlowAbove) pace = 0;
@@ -421,17 +437,17 @@
 
 void Dispatcher::OnStart(const StartOrder& order, const OrderAnswer& answer, MonotonicTime now) {
   impl_->now_ = now;
-  Backend* backend = impl_->FindBackend(order.backend);
+  BackendEntry* backend = impl_->FindBackend(order.backend);
   if (backend == nullptr) return;
   if (answer.outcome == OrderOutcome::kFenced) impl_->fenced = true;
   if (answer.clock) impl_->Answered(*backend, answer.clock);
   if (answer.outcome == OrderOutcome::kOtherLife) {
-    impl_->Reborn(*backend, "another life answers at its address");
+    impl_->Replaced(*backend);
     return;
   }
   const TaskRef ref = impl_->Find(order.task);
   if (!ref || ref.task->backend != backend || ref.task->run != order.run) return;
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   const bool starting = task.phase == TaskPhase::kStarting;
   if (!starting) return;
   task.order_in_flight = false;
@@ -473,12 +489,12 @@
 
 void Dispatcher::OnStop(const StopOrder& order, const OrderAnswer& answer, MonotonicTime now) {
   impl_->now_ = now;
-  Backend* backend = impl_->FindBackend(order.backend);
+  BackendEntry* backend = impl_->FindBackend(order.backend);
   if (backend == nullptr) return;
   if (answer.outcome == OrderOutcome::kFenced) impl_->fenced = true;
   if (answer.clock) impl_->Answered(*backend, answer.clock);
   if (answer.outcome == OrderOutcome::kOtherLife) {
-    impl_->Reborn(*backend, "another life answers at its address");
+    impl_->Replaced(*backend);
     return;
   }
   if (answer.outcome != OrderOutcome::kDone) impl_->Failed(*backend);
@@ -489,7 +505,7 @@
   }
   const TaskRef ref = impl_->Find(order.task);
   if (!ref || ref.task->backend != backend || ref.task->run != order.run) return;
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   if (task.phase != TaskPhase::kStopping) return;
   task.order_in_flight = false;
   if (answer.outcome == OrderOutcome::kDone) {
@@ -503,15 +519,13 @@
 void Dispatcher::OnLook(const LookOrder& order, const LookAnswer& answer, MonotonicTime sent,
                         MonotonicTime now) {
   impl_->now_ = now;
-  Backend* backend = impl_->FindBackend(order.backend);
+  BackendEntry* backend = impl_->FindBackend(order.backend);
   if (backend == nullptr) return;
   backend->look_in_flight = false;
   backend->next_look = now + (backend->HasRuns() ? kLookRetry : kProbeInterval);
   if (answer.outcome == OrderOutcome::kFenced) impl_->fenced = true;
   if (answer.outcome == OrderOutcome::kOtherLife) {
-    impl_->Reborn(*backend, "another life answers at its address");
-    backend->next_look = now + kProbeInterval;
-    backend->failing = true;
+    impl_->Replaced(*backend);
     return;
   }
   if (answer.outcome != OrderOutcome::kDone) {
@@ -520,11 +534,9 @@
     impl_->Failed(*backend);
     return;
   }
-  const bool known = backend->report.born.count() != 0;
-  if (known && answer.born.count() != 0 && answer.born != backend->report.born) {
-    impl_->Reborn(*backend, "it has started again");
-  }
-  if (answer.born.count() != 0) backend->report.born = answer.born;
+  // An answer of an earlier life says nothing of the present one.
+  if (answer.born < backend->report.born) return;
+  if (answer.born > backend->report.born) impl_->Reborn(*backend, answer.born);
   impl_->Answered(*backend, answer.clock);
   if (!backend->listed) {
     backend->listed = true;
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Longest chain of estimates over the steps that are not done.
-Millis RemainingChain(const WorkSpec& spec, const Occurrence& occurrence) {
+Millis RemainingChain(const WorkSpec& spec, const OccurrenceState& occurrence) {
   std::vector<Millis> finish(spec.steps.size(), Millis(0));
   Millis longest{0};
   for (std::size_t n = 0; n < spec.steps.size(); ++n) {
@@ -21,14 +21,14 @@
 
 }  // namespace
 
-void Dispatcher::Impl::Touch(Job& job) {
+void Dispatcher::Impl::Touch(JobEntry& job) {
   ++change;
   if (job.dirty_since != 0) return;
   job.dirty_since = change;
   dirty[change] = job.stored.id;
 }
 
-const QueuePolicy* Dispatcher::Impl::QueueOf(const Job& job) const {
+const QueuePolicy* Dispatcher::Impl::QueueOf(const JobEntry& job) const {
   return config ? config->FindQueue(job.stored.queue) : nullptr;
 }
 
@@ -39,7 +39,7 @@
   if (occurrence == job->second->open.end()) return {};
   auto& steps = occurrence->second.steps;
   if (key.step >= static_cast<int>(steps.size())) return {};
-  Step& step = steps[key.step];
+  StepState& step = steps[key.step];
   if (key.index >= static_cast<int>(step.tasks.size())) return {};
   return TaskRef{job->second.get(), &occurrence->second, &step,
                  &job->second->stored.spec.steps[key.step], &step.tasks[key.index]};
@@ -51,8 +51,8 @@
     if (stored.cancelled) CancelJob(stored.id);
     return;
   }
-  auto owned = std::make_unique<Job>();
-  Job& job = *owned;
+  auto owned = std::make_unique<JobEntry>();
+  JobEntry& job = *owned;
   job.stored = std::move(stored);
   job.inherited = inherited;
   if (progress) job.progress = *progress;
@@ -73,15 +73,15 @@
          inherited ? "inherited" : "new");
 }
 
-void Dispatcher::Impl::OpenOccurrence(Job& job, int number) {
+void Dispatcher::Impl::OpenOccurrence(JobEntry& job, int number) {
   const WorkSpec& spec = job.stored.spec;
-  Occurrence& occurrence = job.open[number];
+  OccurrenceState& occurrence = job.open[number];
   occurrence.number = number;
   occurrence.due = spec.repetitions == 0
                        ? job.stored.accepted_at
                        : UnixMillis(spec.first_due.count() + number * spec.interval.count());
   for (std::size_t n = 0; n < spec.steps.size(); ++n) {
-    Step step;
+    StepState step;
     step.tasks.resize(spec.steps[n].count);
     for (int index = 0; index < spec.steps[n].count; ++index) {
       const TaskKey key{job.stored.id, number, static_cast<int>(n), index};
@@ -97,7 +97,7 @@
   FinishStepIfDone(job, occurrence);
 }
 
-void Dispatcher::Impl::UpdateReady(Job& job, Occurrence& occurrence) {
+void Dispatcher::Impl::UpdateReady(JobEntry& job, OccurrenceState& occurrence) {
   const WorkSpec& spec = job.stored.spec;
   for (std::size_t n = 0; n < spec.steps.size(); ++n) {
     const auto& after = spec.steps[n].after;
@@ -127,7 +127,7 @@
 }
 
 // After a task was marked done: opens the steps that follow, or ends the occurrence or the job.
-void Dispatcher::Impl::FinishStepIfDone(Job& job, Occurrence& occurrence) {
+void Dispatcher::Impl::FinishStepIfDone(JobEntry& job, OccurrenceState& occurrence) {
   UpdateReady(job, occurrence);
   place_due = true;
   const WorkSpec& spec = job.stored.spec;
@@ -141,7 +141,7 @@
   }
 }
 
-void Dispatcher::Impl::EndJob(Job& job, JobOutcome outcome, const std::string& why) {
+void Dispatcher::Impl::EndJob(JobEntry& job, JobOutcome outcome, const std::string& why) {
   if (!job.IsOpen()) return;
   job.progress.outcome = outcome;
   job.ended_at = now_;
@@ -151,7 +151,7 @@
          std::string(OutcomeName(outcome)) + ": " + why);
 }
 
-void Dispatcher::Impl::CloseOpenTasks(Job& job) {
+void Dispatcher::Impl::CloseOpenTasks(JobEntry& job) {
   for (auto& [number, occurrence] : job.open) {
     for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
       auto& tasks = occurrence.steps[n].tasks;
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-const std::vector<Backend*>& Dispatcher::Impl::PoolBackends(const PoolId& pool) {
+const std::vector<BackendEntry*>& Dispatcher::Impl::PoolBackends(const PoolId& pool) {
   if (!pool_index_valid) {
     pool_index.clear();
     for (auto& [id, backend] : backends) pool_index[backend->report.pool].push_back(backend.get());
@@ -47,7 +47,7 @@
   return pool_index[pool];
 }
 
-bool Dispatcher::Impl::Usable(const Backend& backend) const {
+bool Dispatcher::Impl::Usable(const BackendEntry& backend) const {
   if (!backend.registered || !backend.listed || backend.failing || !backend.clock) return false;
   if (backend.report.draining || backend.evacuating || backend.reserved) return false;
   if (roster_written.count(backend.report.id) == 0) return false;
@@ -55,14 +55,15 @@
                       [](const auto& it) { return it.second.unknown_size; });
 }
 
-std::int64_t Dispatcher::Impl::Score(const Backend& backend, const StepSpec& spec, const Step& step,
-                                     const Task& task) const {
+std::int64_t Dispatcher::Impl::Score(const BackendEntry& backend, const StepSpec& spec,
+                                     const StepState& step, const TaskState& task) const {
   std::int64_t score = 0;
   if (!spec.near_rack.empty() && HasLabel(backend.report, spec.near_rack)) score += kNearData;
   if (spec.same_rack) {
-    const bool together = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
-      return it.backend != nullptr && RackOf(it.backend->report) == RackOf(backend.report);
-    });
+    const bool together =
+        std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState& it) {
+          return it.backend != nullptr && RackOf(it.backend->report) == RackOf(backend.report);
+        });
     if (together) score += kSameRack;
   }
   if (now_ >= backend.blamed_until) score += kNotBlamed;
@@ -76,11 +77,12 @@
   return score;
 }
 
-Backend* Dispatcher::Impl::Pick(const PoolId& pool, const StepSpec& spec, const Step& step,
-                                const Task& task, const std::map<Backend*, Resources>& planned) {
-  Backend* best = nullptr;
+BackendEntry* Dispatcher::Impl::Pick(const PoolId& pool, const StepSpec& spec,
+                                     const StepState& step, const TaskState& task,
+                                     const std::map<BackendEntry*, Resources>& planned) {
+  BackendEntry* best = nullptr;
   std::int64_t best_score = 0;
-  for (Backend* it : PoolBackends(pool)) {
+  for (BackendEntry* it : PoolBackends(pool)) {
     if (!Usable(*it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
     // A filler slows the tasks that serve beside it.
@@ -92,7 +94,7 @@
     if (!need.FitsIn(it->report.capacity)) continue;
     if (spec.per_server_limit > 0) {
       const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
-                                      [&](const Task& other) { return other.backend == it; });
+                                      [&](const TaskState& other) { return other.backend == it; });
       if (here >= spec.per_server_limit) continue;
     }
     const std::int64_t score = Score(*it, spec, step, task);
@@ -115,7 +117,7 @@
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         if (!occurrence.steps[n].ready) continue;
-        for (const Task& it : occurrence.steps[n].tasks) {
+        for (const TaskState& it : occurrence.steps[n].tasks) {
           if (it.phase == TaskPhase::kWaiting) use += job->stored.spec.steps[n].each;
         }
       }
@@ -136,23 +138,24 @@
 }
 
 // Whether no run of an earlier owner can be hidden from this one in the pool.
-bool Dispatcher::Impl::InheritedMayRun(const Job& job, const PoolId& pool) const {
+bool Dispatcher::Impl::InheritedMayRun(const JobEntry& job, const PoolId& pool) const {
   if (!job.inherited) return true;
   return std::none_of(roster_pending.begin(), roster_pending.end(),
                       [&](const auto& it) { return it.second == pool; });
 }
 
-RunNumber Dispatcher::Impl::NextRun(const Task& task) const {
+RunNumber Dispatcher::Impl::NextRun(const TaskState& task) const {
   const auto base = (static_cast<std::int64_t>(settings.token.count()) - 1) * kRunsPerOwner;
-  return RunNumber(std::max(task.run.count(), base) + 1);
+  return RunNumber(std::max(task.highest_run.count(), base) + 1);
 }
 
-void Dispatcher::Impl::Begin(const TaskKey& key, const TaskRef& ref, Backend& backend,
+void Dispatcher::Impl::Begin(const TaskKey& key, const TaskRef& ref, BackendEntry& backend,
                              RunNumber run) {
-  Task& task = *ref.task;
+  TaskState& task = *ref.task;
   Charge(key, ref, backend);
   task.phase = TaskPhase::kStarting;
   task.run = run;
+  task.highest_run = run;
   task.ordered = now_;
   task.lease_until = LeaseFor(backend);
   ref.job->any_started = true;
@@ -170,12 +173,13 @@
     if (queue == nullptr || !InheritedMayRun(*job, queue->pool)) continue;
     for (auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
-        const Step& step = occurrence.steps[n];
+        const StepState& step = occurrence.steps[n];
         const StepSpec& spec = job->stored.spec.steps[n];
         if (!step.ready || step.done == spec.count) continue;
-        const bool waiting = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
-          return it.phase == TaskPhase::kWaiting && it.not_before <= now_;
-        });
+        const bool waiting =
+            std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState& it) {
+              return it.phase == TaskPhase::kWaiting && it.not_before <= now_;
+            });
         if (!waiting) continue;
         Candidate candidate{kInTimeTier, queue->priority, 0,
                             job.get(),   &occurrence,     static_cast<int>(n)};
@@ -207,24 +211,24 @@
 }
 
 void Dispatcher::Impl::PlaceStep(const Candidate& candidate) {
-  Job& job = *candidate.job;
+  JobEntry& job = *candidate.job;
   const QueuePolicy* queue = QueueOf(job);
   const StepSpec& spec = job.stored.spec.steps[candidate.step];
-  Step& step = candidate.occurrence->steps[candidate.step];
+  StepState& step = candidate.occurrence->steps[candidate.step];
   if (spec.gang) {
     PlaceGang(candidate, *queue);
     return;
   }
   for (int index = 0; index < spec.count; ++index) {
-    Task& task = step.tasks[index];
+    TaskState& task = step.tasks[index];
     if (task.phase != TaskPhase::kWaiting || task.not_before > now_) continue;
     if (!WithinLimit(job.stored.team, spec.each)) return;
-    Backend* backend = Pick(queue->pool, spec, step, task, {});
+    BackendEntry* backend = Pick(queue->pool, spec, step, task, {});
     if (backend == nullptr) {
       if (candidate.tier != kLastingTier) return;
       // Keeps the emptiest place free, or smaller work would take each gap first.
-      Backend* emptiest = nullptr;
-      for (Backend* it : PoolBackends(queue->pool)) {
+      BackendEntry* emptiest = nullptr;
+      for (BackendEntry* it : PoolBackends(queue->pool)) {
         if (!Usable(*it) || it->filling_tasks > 0) continue;
         if (emptiest == nullptr || it->used.cpu_millis < emptiest->used.cpu_millis) emptiest = it;
       }
@@ -238,24 +242,24 @@
 
 // Starts all members of a gang at once, or none.
 void Dispatcher::Impl::PlaceGang(const Candidate& candidate, const QueuePolicy& queue) {
-  Job& job = *candidate.job;
+  JobEntry& job = *candidate.job;
   const StepSpec& spec = job.stored.spec.steps[candidate.step];
-  Step& step = candidate.occurrence->steps[candidate.step];
+  StepState& step = candidate.occurrence->steps[candidate.step];
   Resources sum;
   RunNumber run;
   std::string checkpoint;
-  for (const Task& it : step.tasks) {
+  for (const TaskState& it : step.tasks) {
     if (it.phase != TaskPhase::kWaiting || it.not_before > now_) return;
     sum += spec.each;
     run = std::max(run, NextRun(it));
     if (it.checkpoint > checkpoint) checkpoint = it.checkpoint;
   }
   if (!WithinLimit(job.stored.team, sum)) return;
-  std::map<Backend*, Resources> planned;
-  std::vector<Backend*> places;
-  std::map<Backend*, int> members;
-  for (Task& it : step.tasks) {
-    Backend* backend = Pick(queue.pool, spec, step, it, planned);
+  std::map<BackendEntry*, Resources> planned;
+  std::vector<BackendEntry*> places;
+  std::map<BackendEntry*, int> members;
+  for (TaskState& it : step.tasks) {
+    BackendEntry* backend = Pick(queue.pool, spec, step, it, planned);
     if (backend == nullptr) return;
     if (spec.per_server_limit > 0 && ++members[backend] > spec.per_server_limit) return;
     planned[backend] += spec.Charge();
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -36,13 +36,15 @@
   kClosed,
 };
 
-struct Backend;
+struct BackendEntry;
 
-struct Task {
+struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
+  // The present run, or the last one.
   RunNumber run;
+  RunNumber highest_run;
   // Set while it counts against a backend server.
-  Backend* backend = nullptr;
+  BackendEntry* backend = nullptr;
   std::string checkpoint;
   int percent = 0;
   // When the present run was ordered.
@@ -65,25 +67,25 @@
   BackendId failed_at;
 };
 
-struct Step {
-  std::vector<Task> tasks;
+struct StepState {
+  std::vector<TaskState> tasks;
   int done = 0;
   bool ready = false;
 };
 
-struct Occurrence {
+struct OccurrenceState {
   int number = 0;
-  std::vector<Step> steps;
+  std::vector<StepState> steps;
   UnixMillis due;
   // Longest chain of estimates over the steps that are not done.
   Millis remaining{0};
   Millis chain{0};
 };
 
-struct Job {
+struct JobEntry {
   StoredJob stored;
   JobProgress progress;
-  std::map<int, Occurrence> open;
+  std::map<int, OccurrenceState> open;
   // Number of the next occurrence to open.
   int next_occurrence = 0;
   bool inherited = false;
@@ -105,7 +107,7 @@
   MonotonicTime retry_at;
 };
 
-struct Backend {
+struct BackendEntry {
   BackendReport report;
   bool registered = true;
   // Has answered this owner, which fences earlier ones.
@@ -145,11 +147,11 @@
 };
 
 struct TaskRef {
-  Job* job = nullptr;
-  Occurrence* occurrence = nullptr;
-  Step* step = nullptr;
+  JobEntry* job = nullptr;
+  OccurrenceState* occurrence = nullptr;
+  StepState* step = nullptr;
   const StepSpec* spec = nullptr;
-  Task* task = nullptr;
+  TaskState* task = nullptr;
   explicit operator bool() const { return task != nullptr; }
 };
 
@@ -170,69 +172,70 @@
   // dispatcher_jobs.cc
   void AddJob(StoredJob stored, const std::optional<JobProgress>& progress, bool inherited);
   void CancelJob(const JobId& id);
-  void OpenOccurrence(Job& job, int number);
+  void OpenOccurrence(JobEntry& job, int number);
   void OpenDueOccurrences();
-  void UpdateReady(Job& job, Occurrence& occurrence);
-  void FinishStepIfDone(Job& job, Occurrence& occurrence);
-  void EndJob(Job& job, JobOutcome outcome, const std::string& why);
-  void CloseOpenTasks(Job& job);
-  void Touch(Job& job);
+  void UpdateReady(JobEntry& job, OccurrenceState& occurrence);
+  void FinishStepIfDone(JobEntry& job, OccurrenceState& occurrence);
+  void EndJob(JobEntry& job, JobOutcome outcome, const std::string& why);
+  void CloseOpenTasks(JobEntry& job);
+  void Touch(JobEntry& job);
   TaskRef Find(const TaskKey& key);
-  [[nodiscard]] const QueuePolicy* QueueOf(const Job& job) const;
+  [[nodiscard]] const QueuePolicy* QueueOf(const JobEntry& job) const;
   [[nodiscard]] std::uint64_t WrittenUpTo() const;
   void AcknowledgeEnds();
 
   // dispatcher_backends.cc
-  void Charge(const TaskKey& key, const TaskRef& ref, Backend& backend);
+  void Charge(const TaskKey& key, const TaskRef& ref, BackendEntry& backend);
   void Release(const TaskKey& key, const TaskRef& ref, TaskPhase next);
   void Requeue(const TaskKey& key, const TaskRef& ref);
   void BeginStop(const TaskKey& key, const TaskRef& ref);
-  void HandleEnd(Backend& backend, const ListedEnd& end);
-  void HandleDone(Backend& backend, const ListedEnd& end, const TaskRef& ref, bool current);
-  void HandleFailed(Backend& backend, const ListedEnd& end, const TaskRef& ref, bool current);
-  void HandleRunning(Backend& backend, const ListedRun& row);
-  void SettleUnlisted(Backend& backend, const std::set<TaskKey>& listed, MonotonicTime sent);
-  void LoseRuns(Backend& backend, const std::string& why);
-  void Reborn(Backend& backend, const std::string& why);
-  void Answered(Backend& backend, const std::optional<BackendClock>& clock);
-  void Failed(Backend& backend);
-  [[nodiscard]] BackendClock LeaseFor(const Backend& backend) const;
-  void ExtendLease(Backend& backend);
+  void HandleEnd(BackendEntry& backend, const ListedEnd& end);
+  void HandleDone(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref, bool current);
+  void HandleFailed(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref, bool current);
+  void HandleRunning(BackendEntry& backend, const ListedRun& row);
+  void SettleUnlisted(BackendEntry& backend, const std::set<TaskKey>& listed, MonotonicTime sent);
+  void LoseRuns(BackendEntry& backend, const std::string& why);
+  void Reborn(BackendEntry& backend, UnixMillis born);
+  void Replaced(BackendEntry& backend);
+  void Answered(BackendEntry& backend, const std::optional<BackendClock>& clock);
+  void Failed(BackendEntry& backend);
+  [[nodiscard]] BackendClock LeaseFor(const BackendEntry& backend) const;
+  void ExtendLease(BackendEntry& backend);
   void SendLooks();
-  void SendLook(Backend& backend);
+  void SendLook(BackendEntry& backend);
   void SendStart(const TaskKey& key, const TaskRef& ref);
-  void SendRetries(Backend& backend);
+  void SendRetries(BackendEntry& backend);
   void ExpireLeases();
-  void StopStuckTasks(Backend& backend);
-  void Evacuate(Backend& backend);
-  void PaceFillers(Backend& backend);
+  void StopStuckTasks(BackendEntry& backend);
+  void Evacuate(BackendEntry& backend);
+  void PaceFillers(BackendEntry& backend);
   [[nodiscard]] bool BudgetAllowsStop(const TaskRef& ref) const;
-  Backend* FindBackend(const BackendId& id);
+  BackendEntry* FindBackend(const BackendId& id);
 
   // dispatcher_placement.cc
   struct Candidate {
     int tier = 0;
     int priority = 0;
     std::int64_t deadline = 0;
-    Job* job = nullptr;
-    Occurrence* occurrence = nullptr;
+    JobEntry* job = nullptr;
+    OccurrenceState* occurrence = nullptr;
     int step = 0;
   };
   void Place();
   void CollectCandidates(std::vector<Candidate>& candidates);
   void PlaceStep(const Candidate& candidate);
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
-  Backend* Pick(const PoolId& pool, const StepSpec& spec, const Step& step, const Task& task,
-                const std::map<Backend*, Resources>& planned);
-  [[nodiscard]] bool Usable(const Backend& backend) const;
-  [[nodiscard]] std::int64_t Score(const Backend& backend, const StepSpec& spec, const Step& step,
-                                   const Task& task) const;
+  BackendEntry* Pick(const PoolId& pool, const StepSpec& spec, const StepState& step,
+                     const TaskState& task, const std::map<BackendEntry*, Resources>& planned);
+  [[nodiscard]] bool Usable(const BackendEntry& backend) const;
+  [[nodiscard]] std::int64_t Score(const BackendEntry& backend, const StepSpec& spec,
+                                   const StepState& step, const TaskState& task) const;
   [[nodiscard]] bool WithinLimit(const TeamId& team, const Resources& more) const;
-  [[nodiscard]] bool InheritedMayRun(const Job& job, const PoolId& pool) const;
+  [[nodiscard]] bool InheritedMayRun(const JobEntry& job, const PoolId& pool) const;
   [[nodiscard]] Resources InheritedUse(const TeamId& team) const;
-  void Begin(const TaskKey& key, const TaskRef& ref, Backend& backend, RunNumber run);
-  [[nodiscard]] RunNumber NextRun(const Task& task) const;
-  const std::vector<Backend*>& PoolBackends(const PoolId& pool);
+  void Begin(const TaskKey& key, const TaskRef& ref, BackendEntry& backend, RunNumber run);
+  [[nodiscard]] RunNumber NextRun(const TaskState& task) const;
+  const std::vector<BackendEntry*>& PoolBackends(const PoolId& pool);
 
   void Report(DecisionKind kind, const JobId& job, const std::string& task,
               const BackendId& backend, RunNumber run, std::string detail) const {
@@ -244,12 +247,12 @@
   const Settings settings;
   const Hooks hooks;
   std::shared_ptr<const DispatchConfig> config;
-  std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
-  std::map<BackendId, std::unique_ptr<Backend>> backends;
-  std::map<PoolId, std::vector<Backend*>> pool_index;
+  std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
+  std::map<BackendId, std::unique_ptr<BackendEntry>> backends;
+  std::map<PoolId, std::vector<BackendEntry*>> pool_index;
   bool pool_index_valid = false;
   std::map<TeamId, Resources> team_use;
-  // Backend servers that an earlier owner may have used and that have not answered yet.
+  // BackendEntry servers that an earlier owner may have used and that have not answered yet.
   std::map<BackendId, PoolId> roster_pending;
   std::map<BackendId, PoolId> roster_written;
   bool roster_ever_written = false;
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -417,7 +417,7 @@
 }
 
 void EntryNode::Impl::ReadJob(const Pending& call) {
-  const RowKey at = rows::Job(call->job);
+  const RowAddress at = rows::Job(call->job);
   ports.store.Read(
       at.table, at.part, at.key, at.key + '\x7f', std::min(kStoreTimeout, Remaining(*call)),
       Guard<const RowsAnswer&>([this, call](const RowsAnswer& answer) {
@@ -437,7 +437,7 @@
 }
 
 void EntryNode::Impl::Cancel(const Pending& call) {
-  const RowKey at = rows::Job(call->job);
+  const RowAddress at = rows::Job(call->job);
   ports.store.Read(at.table, at.part, at.key, at.key + '\x7f',
                    std::min(kStoreTimeout, Remaining(*call)),
                    Guard<const RowsAnswer&>([this, call](const RowsAnswer& answer) {
@@ -499,7 +499,7 @@
     ReplyWaiting(queue, respond);
     return;
   }
-  const RowKey at = rows::Owned(rows::kWaiting);
+  const RowAddress at = rows::Owned(rows::kWaiting);
   ports.store.Read(at.table, at.part, at.key, at.key + '\x7f',
                    std::min(kStoreTimeout, answer_by - now),
                    Guard<const RowsAnswer&>([this, queue, respond](const RowsAnswer& answer) {
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -40,10 +40,10 @@
 
 std::string JobPart(const JobId& id) { return "j" + id.str().substr(0, 1); }
 
-RowKey Job(const JobId& id) { return {kJobs, JobPart(id), id.str()}; }
-RowKey Progress(const JobId& id) { return {kProgress, kOwnerPart, id.str()}; }
-RowKey Owner() { return {kFleet, kOwnerPart, kOwner}; }
-RowKey Owned(const std::string& key) { return {kOwned, kOwnerPart, key}; }
+RowAddress Job(const JobId& id) { return {kJobs, JobPart(id), id.str()}; }
+RowAddress Progress(const JobId& id) { return {kProgress, kOwnerPart, id.str()}; }
+RowAddress Owner() { return {kFleet, kOwnerPart, kOwner}; }
+RowAddress Owned(const std::string& key) { return {kOwned, kOwnerPart, key}; }
 
 }  // namespace rows
 
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -61,17 +61,14 @@
 }
 
 int JobProgress::CountFailure(const TaskKey& task, RunNumber run) {
-  Failures& failures = failures_[{task.occurrence, task.step, task.index}];
-  if (run > failures.last_run) {
-    failures.last_run = run;
-    ++failures.count;
-  }
-  return failures.count;
+  auto& runs = failures_[{task.occurrence, task.step, task.index}];
+  runs.insert(run);
+  return static_cast<int>(runs.size());
 }
 
 int JobProgress::FailureCount(const TaskKey& task) const {
   const auto it = failures_.find({task.occurrence, task.step, task.index});
-  return it == failures_.end() ? 0 : it->second.count;
+  return it == failures_.end() ? 0 : static_cast<int>(it->second.size());
 }
 
 void JobProgress::FinishOccurrence(int occurrence) {
@@ -93,7 +90,9 @@
   json::array failures;
   for (const auto& [task, it] : failures_) {
     const auto& [occurrence, step, index] = task;
-    failures.emplace_back(json::array{occurrence, step, index, it.count, it.last_run.count()});
+    json::array entry{occurrence, step, index};
+    for (const RunNumber run : it) entry.emplace_back(run.count());
+    failures.emplace_back(std::move(entry));
   }
   if (!failures.empty()) row["failures"] = std::move(failures);
   if (!finished_.empty()) row["finished"] = json::array(finished_.begin(), finished_.end());
@@ -118,12 +117,13 @@
   }
   if (const auto* failures = row.if_contains("failures");
       failures != nullptr && failures->is_array()) {
-    constexpr std::size_t kFields = 5;
+    constexpr std::size_t kTaskFields = 3;
     for (const json::value& entry : failures->get_array()) {
-      const auto n = Numbers(entry, kFields);
-      if (n.empty()) return Malformed("list of failures");
-      progress.failures_[{static_cast<int>(n[0]), static_cast<int>(n[1]), static_cast<int>(n[2])}] =
-          {static_cast<int>(n[3]), RunNumber(n[4])};
+      const auto numbers = Numbers(entry, kTaskFields);
+      if (numbers.empty()) return Malformed("list of failures");
+      auto& runs = progress.failures_[{static_cast<int>(numbers[0]), static_cast<int>(numbers[1]),
+                                       static_cast<int>(numbers[2])}];
+      for (std::size_t n = kTaskFields; n < numbers.size(); ++n) runs.insert(RunNumber(numbers[n]));
     }
   }
   if (const auto* finished = row.if_contains("finished"); finished != nullptr) {
--- /dev/null
+++ b/coordination/tests/fleet_sim.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sapphirewheel/coordination/entry_node.h"
+#include "sapphirewheel/coordination/stored_job.h"
+
+namespace sapphirewheel::testing {
+
+// A deployment in virtual time: entry nodes over a table service and backend servers that behave as
+// the users' platform tells, with delays and faults drawn from a seed. Checkers look only at what
+// the backend servers and callers saw.
+class FleetSim {
+ public:
+  struct Faults {
+    // Shares of calls, 0 to 1.
+    double lost_store_answers = 0;
+    double late_store_writes = 0;
+    double lost_order_answers = 0;
+    double late_orders = 0;
+  };
+  struct Settings {
+    std::uint64_t seed = 1;
+    int nodes = 3;
+    int backends_per_pool = 4;
+    int pools = 2;
+    Faults faults;
+  };
+  // A task's run on a backend server.
+  struct Run {
+    RunNumber number;
+    Resources charge;
+    std::int64_t ends_at = 0;
+    bool stopping = false;
+    bool will_fail = false;
+    std::uint64_t id = 0;
+  };
+  struct Backend {
+    BackendReport report;
+    bool alive = true;
+    bool cut = false;
+    // The lease has ended since the last order that extended it.
+    bool lapsed = true;
+    std::int64_t born = 0;
+    std::uint64_t token = 0;
+    std::int64_t lease_until = 0;
+    std::int64_t next_end = 1;
+    std::int64_t seen = 0;
+    std::map<std::string, Run> running;
+    std::vector<ListedEnd> ended;
+    std::map<std::string, std::int64_t> last_run;
+    struct Look {
+      std::int64_t until;
+      std::function<void(const LookAnswer&)> answer;
+    };
+    std::vector<Look> looks;
+  };
+  struct Node {
+    std::unique_ptr<EntryNode> entry;
+    std::string name;
+    bool alive = false;
+    bool frozen = false;
+    bool cut_from_store = false;
+    int life = 0;
+    // One per life: calls of a dead process are still on their way.
+    std::vector<std::unique_ptr<RowStore>> stores;
+    std::vector<std::unique_ptr<BackendServers>> backends;
+  };
+  struct ClientJob {
+    JobId id;
+    QueueId queue;
+    WorkSpec spec;
+    std::int64_t sent_at = 0;
+    bool accepted = false;
+    std::int64_t accepted_at = 0;
+    bool cancelled = false;
+    std::string state;
+    std::map<std::string, int> failed;
+    std::set<std::string> done;
+    // Without ends that were lost before the owner took note of them.
+    std::set<std::string> done_for_good;
+    bool hopeless = false;
+  };
+
+  explicit FleetSim(Settings settings);
+  ~FleetSim();
+
+  void RunUntil(std::int64_t at);
+  void At(std::int64_t at, std::function<void()> task);
+  [[nodiscard]] std::int64_t now() const { return now_; }
+  double Draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  int Draw(int n) { return static_cast<int>(random_() % static_cast<std::uint64_t>(n)); }
+
+  void StartNode(int n);
+  void KillNode(int n);
+  void SetFrozen(int n, bool frozen) { nodes[n].frozen = frozen; }
+  [[nodiscard]] int OwnerNode() const;
+  void SetStoreDown(bool down) { store_down_ = down; }
+  void DropHistory();
+  void CrashBackend(const BackendId& id, std::int64_t down_for, bool same_id);
+  void SetDraining(const BackendId& id);
+
+  // Submits a random job at a random node, again until it is answered.
+  void SubmitRandomJob();
+  void Cancel(ClientJob& job);
+  void Poll(ClientJob& job);
+  [[nodiscard]] std::vector<std::string> Violations() const { return violations_; }
+  void Violate(const std::string& what);
+  // Prints what the nodes decide when FLEET_TRACE is set.
+  void Trace(int node, const std::string& what) const;
+  // Jobs that ought to have ended but are not shown so.
+  [[nodiscard]] std::vector<std::string> Unfinished();
+
+  std::vector<Node> nodes;
+  std::map<BackendId, Backend> backends;
+  std::map<JobId, ClientJob> jobs;
+  DispatchConfig config;
+  int starts = 0;
+
+ private:
+  friend class SimStore;
+  friend class SimBackends;
+  struct Event {
+    std::int64_t at;
+    std::uint64_t order;
+    std::function<void()> task;
+    bool operator>(const Event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+  struct Follower {
+    std::string table;
+    std::uint64_t after;
+    std::int64_t until;
+    std::function<void(const RowsAnswer&)> answer;
+  };
+
+  RowsAnswer Apply(const RowTransaction& tx);
+  void Put(const RowAddress& key, const std::string& value);
+  void WakeFollowers();
+  RowsAnswer Changes(const std::string& table, std::uint64_t after);
+  OrderAnswer Start(Backend& backend, const StartOrder& order);
+  OrderAnswer Stop(Backend& backend, const StopOrder& order);
+  void Look(Backend& backend, const LookOrder& order,
+            std::function<void(const LookAnswer&)> answer);
+  void EndRun(Backend& backend, std::string task, RunEnd how);
+  LookAnswer List(const Backend& backend);
+  void CheckStart(const Backend& backend, const StartOrder& order);
+  void RegisterBackend(Backend& backend);
+  void ForgetUnacknowledged(Backend& backend);
+  void Submit(const JobId& id, const std::string& path, const std::string& body, int retries);
+  void TickNodes();
+  [[nodiscard]] std::int64_t ClockOf(const Backend& backend) const { return now_ - backend.born; }
+  void CallNode(const std::string& path, CallKind kind, const std::string& body,
+                std::function<void(const CallerReply&)> answer);
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  std::int64_t now_ = 0;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::map<RowAddress, std::pair<std::string, std::uint64_t>> rows_;
+  std::vector<std::pair<std::uint64_t, RowAddress>> log_;
+  std::uint64_t log_start_ = 0;
+  std::uint64_t revision_ = 0;
+  std::vector<Follower> followers_;
+  bool store_down_ = false;
+  std::uint64_t next_run_ = 1;
+  std::uint64_t next_job_ = 1;
+  std::vector<std::string> violations_;
+  std::unique_ptr<PlatformReader> reader_;
+};
+
+}  // namespace sapphirewheel::testing
