Let a task start again as soon as its last run is known, and end leases that nobody may extend

Change: the roster carries when runs on lost backend servers are over, on the store's clock; a task that this owner started or found running is not held back; a start is repeated after a look only.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -146,6 +146,7 @@
   settings.lease.takeover_margin =
       kLeastMargin + Millis(static_cast<std::int64_t>(std::hash<NodeId>{}(self) % kSpreadMs));
   settings.owner.dispatcher.lease = std::min(kWantedLease, given.longest_lease - kLeaseReserve);
+  settings.owner.dispatcher.longest_lease = given.longest_lease;
   settings.owner.state_kept = given.state_kept;
   settings.owner.maintenance_time = given.maintenance_time;
   return settings;
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -121,6 +121,15 @@
   std::string value;
 };
 
+// A backend server that an owner may have given work.
+struct RosterEntry {
+  PoolId pool;
+  // All runs there are over by then, as the owner gives it no more orders; absent while it may.
+  std::optional<MonotonicTime> over_by;
+  bool operator==(const RosterEntry&) const = default;
+};
+using Roster = std::map<BackendId, RosterEntry>;
+
 // Places the tasks of all jobs on backend servers, as the one owner of a fleet: order of starts,
 // capacity, upper limits of teams, attempts, checkpoints, gangs, lasting tasks, leases of backend
 // servers, and recovery of what an earlier owner started. Not thread-safe; time is passed in.
@@ -135,6 +144,8 @@
     Epoch token;
     // Time that each order lets tasks run on; at most what backend servers grant.
     Millis lease{6000};
+    // The longest lease that backend servers grant.
+    Millis longest_lease{10'000};
     // A backend server without an answer for this time gets no new work.
     Millis suspect_after{1200};
     // Longest wait of a look for an end.
@@ -162,11 +173,11 @@
   void SetConfig(std::shared_ptr<const DispatchConfig> config);
 
   // Backend servers that an earlier owner may have given work, before the first tick.
-  void SetRoster(const std::map<BackendId, PoolId>& roster);
+  void SetRoster(const Roster& roster);
   // Backend servers that may be given work; only those whose roster row is written count. Returned
   // when it differs from what was written last.
-  [[nodiscard]] std::optional<std::map<BackendId, PoolId>> RosterToWrite();
-  void RosterWritten(const std::map<BackendId, PoolId>& roster);
+  [[nodiscard]] std::optional<Roster> RosterToWrite() const;
+  void RosterWritten(const Roster& roster);
 
   void UpsertBackend(const BackendReport& report, MonotonicTime now);
   void RemoveBackend(const BackendId& id, MonotonicTime now);
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -22,22 +22,30 @@
   impl_->place_due = true;
 }
 
-void Dispatcher::SetRoster(const std::map<BackendId, PoolId>& roster) {
+void Dispatcher::SetRoster(const Roster& roster) {
   impl_->roster_pending = roster;
+  for (auto& [id, entry] : impl_->roster_pending) {
+    const MonotonicTime latest = impl_->now_ + impl_->LeaseBound();
+    entry.over_by = std::min(entry.over_by.value_or(latest), latest);
+  }
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
 }
 
-std::optional<std::map<BackendId, PoolId>> Dispatcher::RosterToWrite() {
-  std::map<BackendId, PoolId> roster = impl_->roster_pending;
+std::optional<Roster> Dispatcher::RosterToWrite() const {
+  Roster roster = impl_->roster_pending;
   for (const auto& [id, backend] : impl_->backends) {
-    if (backend->registered || backend->HasRuns()) roster[id] = backend->report.pool;
+    if (backend->registered) {
+      roster[id] = {backend->report.pool, std::nullopt};
+    } else if (backend->HasRuns()) {
+      roster[id] = {backend->report.pool, backend->lease_end};
+    }
   }
   if (impl_->roster_ever_written && roster == impl_->roster_written) return std::nullopt;
   return roster;
 }
 
-void Dispatcher::RosterWritten(const std::map<BackendId, PoolId>& roster) {
+void Dispatcher::RosterWritten(const Roster& roster) {
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
   impl_->place_due = true;
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -111,6 +111,16 @@
   backend.lease_end = std::max(backend.lease_end, now_ + LeaseBound());
 }
 
+// The lease that an order gave, by the backend server's clock at its answer. It may be longer than
+// planned when the clock has started anew.
+void Dispatcher::Impl::NoteLease(BackendEntry& backend, BackendClock until,
+                                 const std::optional<BackendClock>& clock) {
+  if (!clock) return;
+  const Millis left(std::min(until.count() - clock->count(), settings.longest_lease.count()));
+  const auto drift = static_cast<std::int64_t>(static_cast<double>(left.count()) * kClockDrift);
+  backend.lease_end = std::max(backend.lease_end, now_ + left + Millis(drift) + kLeaseSlack);
+}
+
 void Dispatcher::Impl::HandleEnd(BackendEntry& backend, const ListedEnd& end) {
   if (backend.strays.erase({end.task, end.run}) > 0) place_due = true;
   const TaskRef ref = Find(end.task);
@@ -214,6 +224,7 @@
     task.run = row.run;
     task.highest_run = std::max(task.highest_run, row.run);
     task.ordered = task.advanced = task.confirmed = now_;
+    task.located = true;
     task.percent = row.percent;
     task.checkpoint = row.checkpoint;
     ref.job->any_started = true;
@@ -295,7 +306,8 @@
   order.acknowledged_end = backend.ends_acknowledged;
   backend.ends_sent = backend.ends_acknowledged;
   const bool trusted = now_ - backend.last_answer < settings.suspect_after + settings.look_wait;
-  if (backend.HasRuns() && backend.clock && trusted) {
+  // A server that left the registry may be forgotten by the roster, so its lease has to end.
+  if (backend.registered && backend.HasRuns() && backend.clock && trusted) {
     order.lease_until = LeaseFor(backend);
     ExtendLease(backend);
   }
@@ -331,11 +343,10 @@
     TaskState& task = *ref.task;
     if (task.order_in_flight || now_ < task.retry_at) continue;
     if (task.phase == TaskPhase::kStarting) {
-      task.order_in_flight = true;
-      // The first order's lease is kept, so that a lost backend server's lease ends.
-      hooks.start(StartOrder{backend.report.id, backend.report.address, settings.token, key,
-                             task.run, ref.job->stored.spec.payload, task.checkpoint,
-                             task.lease_until, ""});
+      // Only after a look: another life would take the lease for one on its own clock.
+      if (backend.failing || !backend.listed || !backend.clock) continue;
+      task.lease_until = LeaseFor(backend);
+      SendStart(key, ref);
     } else if (task.phase == TaskPhase::kStopping && !task.stop_confirmed) {
       task.order_in_flight = true;
       hooks.stop(
@@ -360,10 +371,9 @@
     if (forget) pool_index_valid = false;
     return forget;
   });
-  if (!roster_pending.empty() && now_ > inherited_until) {
-    roster_pending.clear();
-    place_due = true;
-  }
+  const auto over =
+      std::erase_if(roster_pending, [&](const auto& row) { return now_ > *row.second.over_by; });
+  if (over > 0) place_due = true;
 }
 
 void Dispatcher::Impl::StopStuckTasks(BackendEntry& backend) {
@@ -455,6 +465,7 @@
     case OrderOutcome::kDone:
       task.phase = TaskPhase::kRunning;
       task.confirmed = task.advanced = now;
+      impl_->NoteLease(*backend, order.lease_until, answer.clock);
       return;
     case OrderOutcome::kUnknown:
       impl_->Failed(*backend);
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -113,12 +113,14 @@
   for (const auto& [id, job] : jobs) {
     if (!job->inherited || job->stored.team != team || !job->IsOpen()) continue;
     const QueuePolicy* queue = QueueOf(*job);
-    if (queue == nullptr || InheritedMayRun(*job, queue->pool)) continue;
+    if (queue == nullptr || PoolIsKnown(queue->pool)) continue;
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         if (!occurrence.steps[n].ready) continue;
         for (const TaskState& it : occurrence.steps[n].tasks) {
-          if (it.phase == TaskPhase::kWaiting) use += job->stored.spec.steps[n].each;
+          if (it.phase == TaskPhase::kWaiting && !it.located) {
+            use += job->stored.spec.steps[n].each;
+          }
         }
       }
     }
@@ -138,10 +140,15 @@
 }
 
 // Whether no run of an earlier owner can be hidden from this one in the pool.
-bool Dispatcher::Impl::InheritedMayRun(const JobEntry& job, const PoolId& pool) const {
-  if (!job.inherited) return true;
+bool Dispatcher::Impl::PoolIsKnown(const PoolId& pool) const {
   return std::none_of(roster_pending.begin(), roster_pending.end(),
-                      [&](const auto& it) { return it.second == pool; });
+                      [&](const auto& it) { return it.second.pool == pool; });
+}
+
+bool Dispatcher::Impl::MayStart(const JobEntry& job, const PoolId& pool,
+                                const TaskState& task) const {
+  if (task.phase != TaskPhase::kWaiting || task.not_before > now_) return false;
+  return !job.inherited || task.located || PoolIsKnown(pool);
 }
 
 RunNumber Dispatcher::Impl::NextRun(const TaskState& task) const {
@@ -158,6 +165,7 @@
   task.highest_run = run;
   task.ordered = now_;
   task.lease_until = LeaseFor(backend);
+  task.located = true;
   ref.job->any_started = true;
   Report(DecisionKind::kTaskStarted, key.job, key.str(), backend.report.id, run,
          "used " + std::to_string(backend.used.cpu_millis) + "/" +
@@ -170,16 +178,15 @@
   for (auto& [id, job] : jobs) {
     if (!job->IsOpen()) continue;
     const QueuePolicy* queue = QueueOf(*job);
-    if (queue == nullptr || !InheritedMayRun(*job, queue->pool)) continue;
+    if (queue == nullptr) continue;
     for (auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         const StepState& step = occurrence.steps[n];
         const StepSpec& spec = job->stored.spec.steps[n];
         if (!step.ready || step.done == spec.count) continue;
         const bool waiting =
-            std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState& it) {
-              return it.phase == TaskPhase::kWaiting && it.not_before <= now_;
-            });
+            std::any_of(step.tasks.begin(), step.tasks.end(),
+                        [&](const TaskState& it) { return MayStart(*job, queue->pool, it); });
         if (!waiting) continue;
         Candidate candidate{kInTimeTier, queue->priority, 0,
                             job.get(),   &occurrence,     static_cast<int>(n)};
@@ -221,7 +228,7 @@
   }
   for (int index = 0; index < spec.count; ++index) {
     TaskState& task = step.tasks[index];
-    if (task.phase != TaskPhase::kWaiting || task.not_before > now_) continue;
+    if (!MayStart(job, queue->pool, task)) continue;
     if (!WithinLimit(job.stored.team, spec.each)) return;
     BackendEntry* backend = Pick(queue->pool, spec, step, task, {});
     if (backend == nullptr) {
@@ -249,7 +256,7 @@
   RunNumber run;
   std::string checkpoint;
   for (const TaskState& it : step.tasks) {
-    if (it.phase != TaskPhase::kWaiting || it.not_before > now_) return;
+    if (!MayStart(job, queue.pool, it)) return;
     sum += spec.each;
     run = std::max(run, NextRun(it));
     if (it.checkpoint > checkpoint) checkpoint = it.checkpoint;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -61,6 +61,8 @@
   // A start had no answer, so it may be carried out later.
   bool maybe_there = false;
   bool stop_confirmed = false;
+  // Started or found running by this owner, so no run of an earlier owner is hidden.
+  bool located = false;
   int pace = 100;
   std::int64_t load = 0;
   // Where it failed or stood still last.
@@ -157,10 +159,7 @@
 
 struct Dispatcher::Impl {
   Impl(Settings given, Hooks given_hooks, MonotonicTime now)
-      : settings(given),
-        hooks(std::move(given_hooks)),
-        inherited_until(now + LeaseBound()),
-        now_(now) {}
+      : settings(given), hooks(std::move(given_hooks)), now_(now) {}
 
   // Longest time that a run goes on after the last order that could extend it.
   [[nodiscard]] Millis LeaseBound() const {
@@ -201,6 +200,8 @@
   void Failed(BackendEntry& backend);
   [[nodiscard]] BackendClock LeaseFor(const BackendEntry& backend) const;
   void ExtendLease(BackendEntry& backend);
+  void NoteLease(BackendEntry& backend, BackendClock until,
+                 const std::optional<BackendClock>& clock);
   void SendLooks();
   void SendLook(BackendEntry& backend);
   void SendStart(const TaskKey& key, const TaskRef& ref);
@@ -231,7 +232,8 @@
   [[nodiscard]] std::int64_t Score(const BackendEntry& backend, const StepSpec& spec,
                                    const StepState& step, const TaskState& task) const;
   [[nodiscard]] bool WithinLimit(const TeamId& team, const Resources& more) const;
-  [[nodiscard]] bool InheritedMayRun(const JobEntry& job, const PoolId& pool) const;
+  [[nodiscard]] bool PoolIsKnown(const PoolId& pool) const;
+  [[nodiscard]] bool MayStart(const JobEntry& job, const PoolId& pool, const TaskState& task) const;
   [[nodiscard]] Resources InheritedUse(const TeamId& team) const;
   void Begin(const TaskKey& key, const TaskRef& ref, BackendEntry& backend, RunNumber run);
   [[nodiscard]] RunNumber NextRun(const TaskState& task) const;
@@ -253,10 +255,9 @@
   bool pool_index_valid = false;
   std::map<TeamId, Resources> team_use;
   // BackendEntry servers that an earlier owner may have used and that have not answered yet.
-  std::map<BackendId, PoolId> roster_pending;
-  std::map<BackendId, PoolId> roster_written;
+  Roster roster_pending;
+  Roster roster_written;
   bool roster_ever_written = false;
-  MonotonicTime inherited_until;
   std::uint64_t change = 0;
   // Changed jobs by the position of their oldest unwritten change.
   std::map<std::uint64_t, JobId> dirty;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -79,6 +79,8 @@
   void LoadJobParts(const std::string& after, std::function<void()> done);
   void LoadNextJobPart(std::function<void()> done);
   void TakeOwned(const StoredRow& row);
+  [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
+  [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
   void StartRunning();
   void TakeJob(const StoredRow& row, bool inherited);
   void TakeBackend(const StoredRow& row);
@@ -124,14 +126,13 @@
   std::vector<StoredRow> loaded_jobs;
   std::map<JobId, JobProgress> loaded_progress;
   std::vector<StoredRow> loaded_backends;
-  std::map<BackendId, PoolId> roster;
+  Roster roster;
   Feed jobs_feed{rows::kJobs, Revision(), kJobsPause, {}, false};
   Feed registry_feed;
   std::set<BackendId> resync_seen;
 
   bool committing = false;
   MonotonicTime next_commit;
-  std::optional<std::map<BackendId, PoolId>> roster_writing;
   std::map<QueueId, int> waiting_written;
   std::map<std::int64_t, std::string> wave_rows;
   std::map<std::int64_t, bool> status_writes;
@@ -160,6 +161,8 @@
                      }
                      jobs_feed.after = answer.newest;
                      registry_feed.after = answer.newest;
+                     store_now = answer.now;
+                     store_read = ports.now();
                      for (const StoredRow& row : answer.rows) TakeOwned(row);
                      LoadPart(
                          rows::kProgress, rows::kOwnerPart, "",
@@ -177,17 +180,41 @@
                    }));
 }
 
+// Times in the row are on the store's clock, which all owners share.
+std::string FleetOwner::Impl::EncodeRoster(const Roster& entries) const {
+  boost::json::object row;
+  for (const auto& [id, entry] : entries) {
+    boost::json::array value{entry.pool.str()};
+    if (entry.over_by && store_now.count() > 0) {
+      value.emplace_back(store_now.count() + (*entry.over_by - store_read).count());
+    }
+    row[id.str()] = std::move(value);
+  }
+  return boost::json::serialize(row);
+}
+
+Roster FleetOwner::Impl::DecodeRoster(const std::string& text) const {
+  Roster entries;
+  const auto object = ParseObject(text);
+  if (!object) return entries;
+  for (const auto& [id, value] : object.value()) {
+    if (!value.is_array() || value.get_array().empty()) continue;
+    const boost::json::array& fields = value.get_array();
+    if (!fields[0].is_string()) continue;
+    RosterEntry entry{PoolId(std::string(fields[0].get_string())), std::nullopt};
+    if (fields.size() > 1 && fields[1].is_int64()) {
+      entry.over_by = store_read + Millis(fields[1].get_int64() - store_now.count());
+    }
+    entries[BackendId(std::string(id))] = entry;
+  }
+  return entries;
+}
+
 void FleetOwner::Impl::TakeOwned(const StoredRow& row) {
   const std::string& key = row.at.key;
   const std::string wave_prefix = rows::kWavePrefix;
   if (key == rows::kRoster) {
-    const auto object = ParseObject(row.value);
-    if (!object) return;
-    for (const auto& [id, pool] : object.value()) {
-      if (pool.is_string()) {
-        roster[BackendId(std::string(id))] = PoolId(std::string(pool.get_string()));
-      }
-    }
+    roster = DecodeRoster(row.value);
   } else if (key.rfind(wave_prefix, 0) == 0) {
     const auto number = std::atoll(key.c_str() + wave_prefix.size());
     finished_vms[number] = MaintenanceRunner::DecodeFinished(row.value);
@@ -378,9 +405,7 @@
       tx.writes.emplace_back(rows::Progress(it.job), it.value);
     }
     if (new_roster) {
-      boost::json::object row;
-      for (const auto& [id, pool] : *new_roster) row[id.str()] = pool.str();
-      tx.writes.emplace_back(rows::Owned(rows::kRoster), boost::json::serialize(row));
+      tx.writes.emplace_back(rows::Owned(rows::kRoster), EncodeRoster(*new_roster));
     }
     if (renew && !release) {
       const Millis passed = now - store_read;
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -53,6 +53,7 @@
     std::uint64_t token = 0;
     std::int64_t lease_until = 0;
     std::int64_t next_end = 1;
+    std::int64_t last_end_at = 0;
     std::int64_t seen = 0;
     std::map<std::string, Run> running;
     std::vector<ListedEnd> ended;
@@ -84,6 +85,7 @@
     bool cancelled = false;
     std::string state;
     std::map<std::string, int> failed;
+    std::map<std::string, int> failed_for_good;
     std::set<std::string> done;
     // Without ends that were lost before the owner took note of them.
     std::set<std::string> done_for_good;
