Lend VMs by demand and switch idle ones off

Change: a pool's wanted size follows arriving work, what will have piled up when a moved VM arrives, and lasting tasks, which now share servers; VMs come from the spare pool or from idle surplus.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -103,6 +103,8 @@
       return Event::kOwnerLoaded;
     case NodeEvent::kWave:
       return Event::kMaintenance;
+    case NodeEvent::kVmMoved:
+      return Event::kVmMoved;
     case NodeEvent::kJobAccepted:
       return Event::kCallAccepted;
     case NodeEvent::kJobCancelled:
--- a/coordination/include/sapphirewheel/coordination/coordination.h
+++ b/coordination/include/sapphirewheel/coordination/coordination.h
@@ -27,6 +27,7 @@
 #include "sapphirewheel/coordination/peer_report.h"
 #include "sapphirewheel/coordination/policy_profile.h"
 #include "sapphirewheel/coordination/pool_duty.h"
+#include "sapphirewheel/coordination/pool_lender.h"
 #include "sapphirewheel/coordination/pool_planner.h"
 #include "sapphirewheel/coordination/rendezvous.h"
 #include "sapphirewheel/coordination/stored_job.h"
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -231,8 +231,20 @@
   [[nodiscard]] std::vector<JobId> Expired(Millis age, MonotonicTime now) const;
   void Forget(const JobId& id);
 
-  // Processor demand of a pool's tasks that are ready but do not run, in thousandths of a core.
-  [[nodiscard]] std::map<PoolId, std::int64_t> Backlog() const;
+  // What a pool's queues ask for. Work is in milli-cores times milliseconds, by the callers'
+  // estimates.
+  struct PoolLoad {
+    // Processors of all lasting tasks, running or not, and of the others that run.
+    std::int64_t lasting_cpu = 0;
+    std::int64_t running_cpu = 0;
+    // Of tasks that do not run yet.
+    std::int64_t waiting_work = 0;
+    // Of all jobs that this owner has taken so far, without lasting tasks.
+    std::int64_t arrived_work = 0;
+    // Backend servers that the widest spread of a lasting step needs.
+    int spread = 0;
+  };
+  [[nodiscard]] std::map<PoolId, PoolLoad> Loads() const;
 
   // Another owner was met at a backend server.
   [[nodiscard]] bool fenced() const noexcept;
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -10,6 +10,7 @@
 #include "sapphirewheel/coordination/fleet_lease.h"
 #include "sapphirewheel/coordination/fleet_ports.h"
 #include "sapphirewheel/coordination/maintenance_runner.h"
+#include "sapphirewheel/coordination/pool_lender.h"
 
 namespace sapphirewheel {
 
@@ -53,6 +54,7 @@
   kOwnershipEnded,
   kLoaded,
   kWave,
+  kVmMoved,
   kJobAccepted,
   kJobCancelled,
   kJobUnreadable,
@@ -79,6 +81,7 @@
  public:
   struct Settings {
     Dispatcher::Settings dispatcher;
+    PoolLender::Settings lender;
     Millis state_kept{120'000};
     // Time that the platform takes to maintain one VM.
     Millis maintenance_time{2000};
--- /dev/null
+++ b/coordination/include/sapphirewheel/coordination/pool_lender.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirewheel/coordination/dispatch_model.h"
+#include "sapphirewheel/coordination/dispatcher.h"
+#include "sapphirewheel/coordination/fleet_ports.h"
+
+namespace sapphirewheel {
+
+// Moves idle VMs between pools as their demand changes, and switches off what no pool needs.
+//
+// A pool needs room for its lasting tasks, for the work that arrives, and for the work that will
+// have piled up when a VM that is moved now has arrived. VMs come from the spare pool, then from
+// pools that have more than they need; only VMs without tasks are moved.
+class PoolLender {
+ public:
+  struct Settings {
+    // From the order to the first start on the moved VM.
+    Millis arrival{1800};
+    // Time in which piled-up work is to be cleared.
+    Millis clear{1500};
+    // Window over which the arrival of work is measured.
+    Millis window{800};
+    // A VM that no pool needs is switched off after this time; two moves cost about as much as a VM
+    // that idles for 2.3 s.
+    Millis idle_before_off{1200};
+    // Backend servers that a pool with queues keeps.
+    int least_servers = 2;
+    // Share of a server's processors that tasks of mixed sizes can fill.
+    double fill = 0.85;
+  };
+  struct Hooks {
+    std::function<void(const VmId&, const PoolId&)> move;
+    // A VM is about to leave its pool, so it gets no new tasks.
+    std::function<void(const BackendId&, bool)> evacuate;
+    std::function<void(const BackendId&)> ended;
+    std::function<void(const std::string&)> report;
+  };
+
+  PoolLender(Settings settings, Hooks hooks) : settings_(settings), hooks_(std::move(hooks)) {}
+
+  void SetConfig(std::shared_ptr<const DispatchConfig> config) { config_ = std::move(config); }
+  void SetVms(const std::vector<VmReport>& vms, MonotonicTime now);
+  void OnMove(const VmId& vm, VmOrderOutcome outcome, MonotonicTime now);
+  // `reserved` tells the VMs that are due for maintenance.
+  void Tick(const std::vector<Dispatcher::BackendView>& backends,
+            const std::map<PoolId, Dispatcher::PoolLoad>& loads,
+            const std::function<bool(const VmId&)>& reserved, MonotonicTime now);
+
+  // Backend servers that a pool should have.
+  [[nodiscard]] int Wanted(const PoolId& pool) const;
+
+ private:
+  struct Arrival {
+    MonotonicTime at;
+    std::int64_t work = 0;
+  };
+  struct PoolState {
+    std::deque<Arrival> arrivals;
+    int wanted = 0;
+    int present = 0;
+    // Ordered to come.
+    int coming = 0;
+    double core_capacity = 0;
+  };
+  struct VmEntry {
+    VmReport report;
+    BackendId backend;
+    bool idle = false;
+    MonotonicTime idle_since;
+    // A move that is under way.
+    std::optional<PoolId> target;
+    MonotonicTime ordered;
+    bool order_open = false;
+  };
+
+  void Observe(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now);
+  void Plan(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now);
+  [[nodiscard]] double ArrivingCores(PoolState& pool, std::int64_t arrived_work, MonotonicTime now);
+  void Raise(const std::function<bool(const VmId&)>& reserved, MonotonicTime now);
+  void SwitchOff(const std::function<bool(const VmId&)>& reserved, MonotonicTime now);
+  void Order(const VmId& vm, VmEntry& entry, const PoolId& target, MonotonicTime now);
+  [[nodiscard]] bool Refused(const VmId& vm, const PoolId& pool) const;
+  [[nodiscard]] std::optional<PoolId> SparePool() const;
+  [[nodiscard]] bool IsSpare(const PoolId& pool) const;
+  VmEntry* PickFor(const PoolId& pool, const std::function<bool(const VmId&)>& reserved,
+                   MonotonicTime now);
+
+  Settings settings_;
+  Hooks hooks_;
+  std::shared_ptr<const DispatchConfig> config_;
+  std::map<VmId, VmEntry> vms_;
+  std::map<PoolId, PoolState> pools_;
+  // Pools that the platform refused for a VM.
+  std::map<VmId, std::vector<PoolId>> refused_;
+  bool listed_ = false;
+  MonotonicTime started_;
+  double server_cores_ = 0;
+};
+
+}  // namespace sapphirewheel
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -212,22 +212,33 @@
   impl_->jobs.erase(it);
 }
 
-std::map<PoolId, std::int64_t> Dispatcher::Backlog() const {
-  std::map<PoolId, std::int64_t> backlog;
+std::map<PoolId, Dispatcher::PoolLoad> Dispatcher::Loads() const {
+  std::map<PoolId, PoolLoad> loads;
+  for (const auto& [pool, work] : impl_->arrived_work) loads[pool].arrived_work = work;
   for (const auto& [id, job] : impl_->jobs) {
     const QueuePolicy* queue = impl_->QueueOf(*job);
     if (!job->IsOpen() || queue == nullptr) continue;
+    PoolLoad& load = loads[queue->pool];
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
-        if (!occurrence.steps[n].ready) continue;
+        const StepSpec& spec = job->stored.spec.steps[n];
+        const std::int64_t cpu = spec.Charge().cpu_millis;
+        if (spec.lasting) {
+          load.lasting_cpu += cpu * spec.count;
+          const int apart = std::max(1, spec.per_server_limit);
+          if (spec.per_server_limit > 0) {
+            load.spread = std::max(load.spread, (spec.count + apart - 1) / apart);
+          }
+          continue;
+        }
         for (const TaskState& it : occurrence.steps[n].tasks) {
-          if (it.phase != TaskPhase::kWaiting) continue;
-          backlog[queue->pool] += job->stored.spec.steps[n].Charge().cpu_millis;
+          if (it.backend != nullptr) load.running_cpu += cpu;
+          if (it.phase == TaskPhase::kWaiting) load.waiting_work += cpu * spec.estimate.count();
         }
       }
     }
   }
-  return backlog;
+  return loads;
 }
 
 bool Dispatcher::fenced() const noexcept { return impl_->fenced; }
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -364,7 +364,11 @@
 void Dispatcher::Impl::ExpireLeases() {
   std::erase_if(backends, [&](const auto& row) {
     BackendEntry& backend = *row.second;
-    if (backend.HasRuns() && now_ > backend.lease_end) LoseRuns(backend, "its lease has ended");
+    if (backend.HasRuns() && now_ > backend.lease_end) {
+      LoseRuns(backend, "its lease has ended");
+      // Its list shows the ends, which have to be acknowledged.
+      backend.listed = false;
+    }
     const bool forget = !backend.registered && !backend.HasRuns() && !backend.look_in_flight &&
                         backend.unacknowledged.empty() &&
                         (backend.ends_sent >= backend.ends_acknowledged || backend.failing);
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -19,6 +19,26 @@
   return longest;
 }
 
+// The size of a job in short, for the log.
+std::string Describe(const WorkSpec& spec) {
+  std::string text;
+  for (const StepSpec& it : spec.steps) {
+    text += " [" + std::to_string(it.count) + " x " + std::to_string(it.each.cpu_millis) +
+            " mcpu " + std::to_string(it.each.memory_mib) + " MiB " +
+            std::to_string(it.estimate.count()) + " ms";
+    if (it.lasting) text += " lasting";
+    if (it.fills) text += " fills";
+    if (it.gang) text += " gang";
+    if (it.per_server_limit > 0) text += " apart " + std::to_string(it.per_server_limit);
+    if (it.latency_target.count() > 0) {
+      text += " target " + std::to_string(it.latency_target.count());
+    }
+    if (it.unavailable_budget) text += " budget " + std::to_string(*it.unavailable_budget);
+    text += "]";
+  }
+  return text;
+}
+
 }  // namespace
 
 void Dispatcher::Impl::Touch(JobEntry& job) {
@@ -70,11 +90,21 @@
   if (job.stored.spec.repetitions == 0) OpenOccurrence(job, 0);
   place_due = true;
   Report(DecisionKind::kJobTaken, id, "", BackendId(), RunNumber(),
-         inherited ? "inherited" : "new");
+         std::string(inherited ? "inherited" : "new") + Describe(job.stored.spec));
+}
+
+void Dispatcher::Impl::CountArrival(const JobEntry& job) {
+  const QueuePolicy* queue = QueueOf(job);
+  if (queue == nullptr || job.inherited) return;
+  for (const StepSpec& it : job.stored.spec.steps) {
+    if (it.lasting) continue;
+    arrived_work[queue->pool] += it.Charge().cpu_millis * it.estimate.count() * it.count;
+  }
 }
 
 void Dispatcher::Impl::OpenOccurrence(JobEntry& job, int number) {
   const WorkSpec& spec = job.stored.spec;
+  CountArrival(job);
   OccurrenceState& occurrence = job.open[number];
   occurrence.number = number;
   occurrence.due = spec.repetitions == 0
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -13,8 +13,8 @@
 constexpr std::int64_t kNotFailedThere = 16000;
 // Prefers the fullest backend server, so that others become free.
 constexpr std::int64_t kFullness = 500;
-// Lasting tasks are spread, so that one lost backend server costs little.
-constexpr std::int64_t kSpread = 100;
+// Lasting tasks share backend servers, so that the others can be switched off.
+constexpr std::int64_t kBesideLasting = 600;
 
 // Order of tiers: tasks that serve for good, work that can still meet its objective, late work,
 // fillers.
@@ -69,9 +69,8 @@
   if (now_ >= backend.blamed_until) score += kNotBlamed;
   if (!backend.avoided) score += kNotAvoided;
   if (task.failed_at != backend.report.id) score += kNotFailedThere;
-  if (spec.lasting) {
-    score -= kSpread * backend.lasting_tasks;
-  } else if (backend.report.capacity.cpu_millis > 0) {
+  if (spec.lasting && backend.lasting_tasks > 0) score += kBesideLasting;
+  if (backend.report.capacity.cpu_millis > 0) {
     score += kFullness * backend.used.cpu_millis / backend.report.capacity.cpu_millis;
   }
   return score;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -171,6 +171,7 @@
   // dispatcher_jobs.cc
   void AddJob(StoredJob stored, const std::optional<JobProgress>& progress, bool inherited);
   void CancelJob(const JobId& id);
+  void CountArrival(const JobEntry& job);
   void OpenOccurrence(JobEntry& job, int number);
   void OpenDueOccurrences();
   void UpdateReady(JobEntry& job, OccurrenceState& occurrence);
@@ -254,6 +255,7 @@
   std::map<PoolId, std::vector<BackendEntry*>> pool_index;
   bool pool_index_valid = false;
   std::map<TeamId, Resources> team_use;
+  std::map<PoolId, std::int64_t> arrived_work;
   // BackendEntry servers that an earlier owner may have used and that have not answered yet.
   Roster roster_pending;
   Roster roster_written;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -24,6 +24,7 @@
 constexpr Millis kResyncTime{1500};
 constexpr Millis kVmListInterval{700};
 constexpr Millis kCleanInterval{500};
+constexpr Millis kLendInterval{100};
 
 // Follows one table of the change feed; asks again at once, after a pause, or after a failure.
 struct Feed {
@@ -96,6 +97,7 @@
   void Tick(MonotonicTime now);
   Dispatcher::Hooks DispatcherHooks();
   MaintenanceRunner::Hooks MaintenanceHooks();
+  PoolLender::Hooks LenderHooks();
 
   // Wraps a callback so that it is dropped when the owner is gone.
   template <typename... Args, typename F>
@@ -113,6 +115,8 @@
   FleetLease& lease;
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<MaintenanceRunner> maintenance;
+  std::unique_ptr<PoolLender> lender;
+  MonotonicTime next_lend;
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
   std::map<std::int64_t, std::set<VmId>> finished_vms;
@@ -293,6 +297,8 @@
   loaded_jobs.clear();
   loaded_backends.clear();
   maintenance = std::make_unique<MaintenanceRunner>(MaintenanceHooks(), settings.maintenance_time);
+  lender = std::make_unique<PoolLender>(settings.lender, LenderHooks());
+  if (config) lender->SetConfig(config);
   running = true;
   for (const auto& [number, wave] : waves) maintenance->AddWave(wave, finished_vms[number]);
 }
@@ -483,12 +489,14 @@
 }
 
 void FleetOwner::Impl::ListVms() {
-  if (ports.vms == nullptr || listing || ports.now() < next_list || !maintenance->Active()) return;
+  if (ports.vms == nullptr || listing || ports.now() < next_list) return;
   listing = true;
   ports.vms->List(Guard<const VmListAnswer&>([this](const VmListAnswer& answer) {
     listing = false;
     next_list = ports.now() + kVmListInterval;
-    if (answer.complete) maintenance->SetVms(answer.vms, ports.now());
+    if (!answer.complete) return;
+    maintenance->SetVms(answer.vms, ports.now());
+    lender->SetVms(answer.vms, ports.now());
   }));
 }
 
@@ -567,6 +575,23 @@
   return hooks;
 }
 
+PoolLender::Hooks FleetOwner::Impl::LenderHooks() {
+  PoolLender::Hooks hooks;
+  hooks.move = [this](const VmId& vm, const PoolId& pool) {
+    ports.vms->Move(vm, pool, lease.token(),
+                    Guard<VmOrderOutcome>([this, vm](VmOrderOutcome outcome) {
+                      if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
+                      lender->OnMove(vm, outcome, ports.now());
+                    }));
+  };
+  hooks.evacuate = [this](const BackendId& id, bool on) { dispatcher->SetEvacuating(id, on); };
+  hooks.ended = [this](const BackendId& id) { dispatcher->BackendEnded(id, ports.now()); };
+  hooks.report = [this](const std::string& what) {
+    if (ports.note) ports.note(NodeEvent::kVmMoved, what);
+  };
+  return hooks;
+}
+
 void FleetOwner::Impl::Tick(MonotonicTime now) {
   if (!running) {
     if (!loading && now >= retry_load) Load();
@@ -588,7 +613,14 @@
       [this] { ResyncRegistry(); });
   if (may_order && ports.vms != nullptr) {
     ListVms();
-    if (maintenance->Active()) maintenance->Tick(dispatcher->Backends(), now);
+    const auto backends = dispatcher->Backends();
+    if (maintenance->Active()) maintenance->Tick(backends, now);
+    if (now >= next_lend) {
+      next_lend = now + kLendInterval;
+      lender->Tick(
+          backends, dispatcher->Loads(),
+          [this](const VmId& vm) { return maintenance->IsPending(vm); }, now);
+    }
     for (const auto& it : maintenance->TakeChanges()) {
       wave_rows[it.wave] = MaintenanceRunner::EncodeFinished(it.finished);
       const bool first = known_waves.insert(it.wave).second;
@@ -610,6 +642,7 @@
 
 void FleetOwner::SetConfig(std::shared_ptr<const DispatchConfig> config) {
   impl_->config = config;
+  if (impl_->lender) impl_->lender->SetConfig(config);
   if (impl_->dispatcher) impl_->dispatcher->SetConfig(std::move(config));
 }
 
--- /dev/null
+++ b/coordination/src/pool_lender.cc
@@ -0,0 +1,219 @@
+#include "sapphirewheel/coordination/pool_lender.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirewheel {
+namespace {
+
+constexpr double kMillisPerCore = 1000;
+// A move without a sign of its end counts as failed after this time.
+constexpr Millis kMoveLost{6000};
+
+}  // namespace
+
+std::optional<PoolId> PoolLender::SparePool() const {
+  for (const PoolPolicy& it : config_->pools) {
+    if (it.spare) return it.id;
+  }
+  return std::nullopt;
+}
+
+bool PoolLender::IsSpare(const PoolId& pool) const {
+  const PoolPolicy* policy = config_->FindPool(pool);
+  return policy != nullptr && policy->spare;
+}
+
+bool PoolLender::Refused(const VmId& vm, const PoolId& pool) const {
+  const auto it = refused_.find(vm);
+  return it != refused_.end() &&
+         std::find(it->second.begin(), it->second.end(), pool) != it->second.end();
+}
+
+int PoolLender::Wanted(const PoolId& pool) const {
+  const auto it = pools_.find(pool);
+  return it == pools_.end() ? 0 : it->second.wanted;
+}
+
+void PoolLender::SetVms(const std::vector<VmReport>& vms, MonotonicTime now) {
+  if (!listed_) started_ = now;
+  listed_ = true;
+  std::map<VmId, VmEntry> next;
+  for (const VmReport& it : vms) {
+    VmEntry entry;
+    if (const auto known = vms_.find(it.vm); known != vms_.end()) entry = known->second;
+    entry.report = it;
+    if (entry.target && !entry.order_open) {
+      const bool arrived = it.state == VmState::kUp && it.pool == *entry.target;
+      if (arrived || now - entry.ordered > kMoveLost) entry.target.reset();
+    }
+    next[it.vm] = std::move(entry);
+  }
+  vms_ = std::move(next);
+}
+
+void PoolLender::OnMove(const VmId& vm, VmOrderOutcome outcome, MonotonicTime now) {
+  const auto it = vms_.find(vm);
+  if (it == vms_.end() || !it->second.target) return;
+  VmEntry& entry = it->second;
+  entry.order_open = false;
+  if (outcome == VmOrderOutcome::kDone) {
+    if (!entry.backend.empty()) hooks_.ended(entry.backend);
+    entry.report.state = VmState::kMoving;
+    entry.report.pool = *entry.target;
+    entry.backend = BackendId();
+    return;
+  }
+  if (outcome == VmOrderOutcome::kUnknown) return;
+  if (outcome == VmOrderOutcome::kWrong) refused_[vm].push_back(*entry.target);
+  entry.target.reset();
+  entry.idle_since = now;
+  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, false);
+}
+
+void PoolLender::Observe(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now) {
+  std::map<BackendId, const Dispatcher::BackendView*> by_id;
+  std::map<VmId, const Dispatcher::BackendView*> by_vm;
+  for (const auto& it : backends) {
+    by_id[it.id] = &it;
+    if (!it.vm.empty()) by_vm[it.vm] = &it;
+  }
+  for (auto& [id, pool] : pools_) {
+    pool.present = pool.coming = 0;
+    pool.core_capacity = 0;
+  }
+  for (auto& [vm, entry] : vms_) {
+    const Dispatcher::BackendView* view = nullptr;
+    if (const auto it = by_vm.find(vm); it != by_vm.end()) {
+      view = it->second;
+    } else if (const auto named = by_id.find(entry.report.backend); named != by_id.end()) {
+      view = named->second;
+    }
+    const bool arrived = view != nullptr && entry.target && view->pool == *entry.target;
+    if (arrived && !entry.order_open) {
+      entry.target.reset();
+      entry.report.state = VmState::kUp;
+      entry.report.pool = view->pool;
+    }
+    entry.backend = view == nullptr ? BackendId() : view->id;
+    const bool idle = view != nullptr && view->usable && view->tasks == 0;
+    if (idle && !entry.idle) entry.idle_since = now;
+    entry.idle = idle;
+    if (entry.target) {
+      ++pools_[*entry.target].coming;
+    } else if (view != nullptr && view->usable && !view->evacuating) {
+      PoolState& pool = pools_[view->pool];
+      ++pool.present;
+      const double cores = static_cast<double>(view->capacity.cpu_millis) / kMillisPerCore;
+      pool.core_capacity += cores;
+      server_cores_ = std::max(server_cores_, cores);
+    } else if (entry.report.state == VmState::kMoving) {
+      ++pools_[entry.report.pool].coming;
+    }
+  }
+}
+
+// Work that arrives, in cores: processor time per time, over the window.
+double PoolLender::ArrivingCores(PoolState& pool, std::int64_t arrived_work, MonotonicTime now) {
+  pool.arrivals.push_back({now, arrived_work});
+  while (pool.arrivals.size() > 1 && pool.arrivals[1].at <= now - settings_.window) {
+    pool.arrivals.pop_front();
+  }
+  const Arrival& first = pool.arrivals.front();
+  const Millis span = std::max(now - first.at, settings_.window);
+  return static_cast<double>(arrived_work - first.work) / kMillisPerCore /
+         static_cast<double>(span.count());
+}
+
+void PoolLender::Plan(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now) {
+  for (const PoolPolicy& policy : config_->pools) {
+    if (policy.spare) continue;
+    PoolState& pool = pools_[policy.id];
+    const auto load = loads.find(policy.id);
+    const Dispatcher::PoolLoad none;
+    const Dispatcher::PoolLoad& it = load == loads.end() ? none : load->second;
+    const double arriving = ArrivingCores(pool, it.arrived_work, now);
+    const double lasting = static_cast<double>(it.lasting_cpu) / kMillisPerCore;
+    const double room = std::max(0.0, pool.core_capacity * settings_.fill - lasting);
+    const double seconds = static_cast<double>(settings_.arrival.count()) / kMillisPerCore;
+    const double clear = static_cast<double>(settings_.clear.count()) / kMillisPerCore;
+    // Units of work: milli-cores times milliseconds.
+    constexpr double kWorkPerCoreSecond = 1e6;
+    const double waiting = static_cast<double>(it.waiting_work) / kWorkPerCoreSecond;
+    const double piled = std::max(0.0, waiting + (arriving - room) * seconds);
+    const double running = static_cast<double>(it.running_cpu) / kMillisPerCore;
+    const double cores = lasting + std::max(arriving + piled / clear, running);
+    const double per_server = std::max(1.0, server_cores_ * settings_.fill);
+    pool.wanted = std::max(
+        {settings_.least_servers, it.spread, static_cast<int>(std::ceil(cores / per_server))});
+  }
+}
+
+void PoolLender::Order(const VmId& vm, VmEntry& entry, const PoolId& target, MonotonicTime now) {
+  entry.target = target;
+  entry.ordered = now;
+  entry.order_open = true;
+  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, true);
+  if (hooks_.report) {
+    hooks_.report(vm.str() + " from " + entry.report.pool.str() + " to " + target.str() +
+                  ", wanted " + std::to_string(Wanted(target)));
+  }
+  ++pools_[target].coming;
+  hooks_.move(vm, target);
+}
+
+// A VM that may go to a pool: switched off ones first, then idle ones of pools with too many.
+PoolLender::VmEntry* PoolLender::PickFor(const PoolId& pool,
+                                         const std::function<bool(const VmId&)>& reserved,
+                                         MonotonicTime now) {
+  VmEntry* idle = nullptr;
+  for (auto& [vm, entry] : vms_) {
+    if (entry.target || entry.report.state != VmState::kUp || entry.report.pool == pool) continue;
+    if (reserved(vm) || Refused(vm, pool)) continue;
+    if (IsSpare(entry.report.pool)) return &entry;
+    const PoolState& from = pools_[entry.report.pool];
+    const bool surplus = from.present > from.wanted;
+    const bool settled = entry.idle && now - entry.idle_since > Millis(100);
+    if (idle == nullptr && settled && surplus) idle = &entry;
+  }
+  return idle;
+}
+
+void PoolLender::Raise(const std::function<bool(const VmId&)>& reserved, MonotonicTime now) {
+  for (auto& [id, pool] : pools_) {
+    if (IsSpare(id) || config_->FindPool(id) == nullptr) continue;
+    while (pool.present + pool.coming < pool.wanted) {
+      VmEntry* entry = PickFor(id, reserved, now);
+      if (entry == nullptr) break;
+      if (!IsSpare(entry->report.pool)) --pools_[entry->report.pool].present;
+      Order(entry->report.vm, *entry, id, now);
+    }
+  }
+}
+
+void PoolLender::SwitchOff(const std::function<bool(const VmId&)>& reserved, MonotonicTime now) {
+  const auto spare = SparePool();
+  if (!spare) return;
+  for (auto& [vm, entry] : vms_) {
+    if (entry.target || !entry.idle || entry.report.state != VmState::kUp) continue;
+    if (IsSpare(entry.report.pool) || reserved(vm) || Refused(vm, *spare)) continue;
+    PoolState& pool = pools_[entry.report.pool];
+    if (pool.present <= pool.wanted || now - entry.idle_since < settings_.idle_before_off) continue;
+    --pool.present;
+    Order(vm, entry, *spare, now);
+  }
+}
+
+void PoolLender::Tick(const std::vector<Dispatcher::BackendView>& backends,
+                      const std::map<PoolId, Dispatcher::PoolLoad>& loads,
+                      const std::function<bool(const VmId&)>& reserved, MonotonicTime now) {
+  if (!config_ || !listed_) return;
+  Observe(backends, now);
+  Plan(loads, now);
+  // The load of an owner that has just started is not measured yet.
+  if (now - started_ < settings_.window) return;
+  Raise(reserved, now);
+  SwitchOff(reserved, now);
+}
+
+}  // namespace sapphirewheel
