Count tasks of silent servers as away, load in parallel, let younger nodes succeed

Change as titled; a takeover also waits longer while the store's answers are late, and the roster tells when the runs on a silent server are over.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -144,6 +144,7 @@
   settings.desk.key_freshness = given.withdrawal_bound - kAnswerReserve;
   settings.desk.refusal_freshness = std::max(given.config_bound - kRefusalReserve, Millis(0));
   settings.lease.self = self;
+  settings.lease.started = WallClock();
   settings.lease.lease = std::min(given.ownership_lease, kWantedOwnership);
   settings.lease.renew_interval = kRenewInterval;
   // Spreads the attempts of the nodes to take over.
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -173,7 +173,8 @@
   void SetConfig(std::shared_ptr<const DispatchConfig> config);
 
   // Backend servers that an earlier owner may have given work, before the first tick.
-  void SetRoster(const Roster& roster);
+  // `taken_at` is when this owner took over; earlier ones gave no orders later.
+  void SetRoster(const Roster& roster, MonotonicTime taken_at);
   // Backend servers that may be given work; only those whose roster row is written count. Returned
   // when it differs from what was written last.
   [[nodiscard]] std::optional<Roster> RosterToWrite() const;
--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "sapphirewheel/coordination/dispatch_model.h"
 #include "sapphirewheel/state/error.h"
 #include "sapphirewheel/state/ids.h"
 #include "sapphirewheel/state/units.h"
@@ -17,6 +18,8 @@
   Epoch token;
   // The holder gave the ownership up in a planned stop.
   bool released = false;
+  // Time of day at which the holder's process started.
+  UnixMillis started;
 
   [[nodiscard]] std::string Encode() const;
   // Errors: kInvalidArgument.
@@ -36,6 +39,11 @@
     Millis renew_interval{1000};
     // Added to the lease before another node takes over.
     Millis takeover_margin{300};
+    // Time of day at which this process started.
+    UnixMillis started;
+    // After a release, nodes that started before the last holder let the others go first: in a
+    // rolling restart they are stopped next.
+    Millis elder_delay{150};
   };
   // A conditional write of the row that the caller makes at the table service.
   struct Write {
@@ -48,8 +56,10 @@
   // The row as read at the table service; an absent row has revision 0.
   void Observe(const std::optional<OwnerRow>& row, Revision revision, MonotonicTime now);
 
-  // The write by which this node takes over, when it is due. One at a time.
-  [[nodiscard]] std::optional<Write> Claim(MonotonicTime now);
+  // The write by which this node takes over, when it is due. One at a time. `store_delay` is how
+  // late the table service's answers are, so that a holder's renewal is not missed while it is
+  // slow.
+  [[nodiscard]] std::optional<Write> Claim(MonotonicTime now, Millis store_delay = Millis(0));
   // The write by which the owner renews, when it is due.
   [[nodiscard]] bool RenewalDue(MonotonicTime now) const;
   [[nodiscard]] Write Renewal() const;
@@ -71,6 +81,8 @@
   [[nodiscard]] const std::optional<OwnerRow>& row() const noexcept { return row_; }
 
  private:
+  [[nodiscard]] MonotonicTime ClaimableAt(Millis store_delay) const;
+
   Settings settings_;
   std::optional<OwnerRow> row_;
   Revision revision_;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -22,10 +22,10 @@
   impl_->place_due = true;
 }
 
-void Dispatcher::SetRoster(const Roster& roster) {
+void Dispatcher::SetRoster(const Roster& roster, MonotonicTime taken_at) {
   impl_->roster_pending = roster;
   for (auto& [id, entry] : impl_->roster_pending) {
-    const MonotonicTime latest = impl_->now_ + impl_->LeaseBound();
+    const MonotonicTime latest = taken_at + impl_->LeaseBound();
     entry.over_by = std::min(entry.over_by.value_or(latest), latest);
   }
   impl_->roster_written = roster;
@@ -35,7 +35,8 @@
 std::optional<Roster> Dispatcher::RosterToWrite() const {
   Roster roster = impl_->roster_pending;
   for (const auto& [id, backend] : impl_->backends) {
-    if (backend->registered) {
+    const bool trusted = backend->registered && impl_->Trusted(*backend);
+    if (trusted) {
       roster[id] = {backend->report.pool, std::nullopt};
     } else if (backend->HasRuns()) {
       roster[id] = {backend->report.pool, backend->lease_end};
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -298,6 +298,16 @@
   backend.next_look = now_ + kProbeInterval;
 }
 
+bool Dispatcher::Impl::Trusted(const BackendEntry& backend) const {
+  return !backend.failing ||
+         now_ - backend.last_answer < settings.suspect_after + settings.look_wait;
+}
+
+bool Dispatcher::Impl::InRoster(const BackendEntry& backend) const {
+  const auto it = roster_written.find(backend.report.id);
+  return it != roster_written.end() && !it->second.over_by;
+}
+
 void Dispatcher::Impl::SendLook(BackendEntry& backend) {
   LookOrder order;
   order.backend = backend.report.id;
@@ -305,9 +315,10 @@
   order.token = settings.token;
   order.acknowledged_end = backend.ends_acknowledged;
   backend.ends_sent = backend.ends_acknowledged;
-  const bool trusted = now_ - backend.last_answer < settings.suspect_after + settings.look_wait;
-  // A server that left the registry may be forgotten by the roster, so its lease has to end.
-  if (backend.registered && backend.HasRuns() && backend.clock && trusted) {
+  // A server that left the registry or does not answer may be over by the roster's word, so its
+  // lease has to end.
+  const bool extend = backend.registered && Trusted(backend) && InRoster(backend);
+  if (extend && backend.HasRuns() && backend.clock) {
     order.lease_until = LeaseFor(backend);
     ExtendLease(backend);
   }
@@ -398,12 +409,17 @@
   }
 }
 
+// Whether a task serves for all that is known: its backend server has answered lately.
+bool Dispatcher::Impl::AtWork(const TaskState& task) const {
+  if (task.phase != TaskPhase::kRunning || task.percent < kFull) return false;
+  return !task.backend->failing &&
+         now_ - task.backend->last_answer < settings.look_wait + settings.suspect_after;
+}
+
 bool Dispatcher::Impl::BudgetAllowsStop(const TaskRef& ref) const {
-  int away = 0;
-  for (const TaskState& it : ref.step->tasks) {
-    const bool at_work = it.phase == TaskPhase::kRunning && it.percent >= kFull;
-    if (&it != ref.task && !at_work) ++away;
-  }
+  const auto away =
+      std::count_if(ref.step->tasks.begin(), ref.step->tasks.end(),
+                    [&](const TaskState& it) { return &it != ref.task && !AtWork(it); });
   return away < ref.spec->unavailable_budget.value_or(1);
 }
 
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -50,7 +50,7 @@
 bool Dispatcher::Impl::Usable(const BackendEntry& backend) const {
   if (!backend.registered || !backend.listed || backend.failing || !backend.clock) return false;
   if (backend.report.draining || backend.evacuating || backend.reserved) return false;
-  if (roster_written.count(backend.report.id) == 0) return false;
+  if (!InRoster(backend)) return false;
   return std::none_of(backend.strays.begin(), backend.strays.end(),
                       [](const auto& it) { return it.second.unknown_size; });
 }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -203,6 +203,9 @@
   void ExtendLease(BackendEntry& backend);
   void NoteLease(BackendEntry& backend, BackendClock until,
                  const std::optional<BackendClock>& clock);
+  // Whether it may be given orders that extend its lease: it answers, and the roster says so.
+  [[nodiscard]] bool Trusted(const BackendEntry& backend) const;
+  [[nodiscard]] bool InRoster(const BackendEntry& backend) const;
   void SendLooks();
   void SendLook(BackendEntry& backend);
   void SendStart(const TaskKey& key, const TaskRef& ref);
@@ -211,6 +214,7 @@
   void StopStuckTasks(BackendEntry& backend);
   void Evacuate(BackendEntry& backend);
   void PaceFillers(BackendEntry& backend);
+  [[nodiscard]] bool AtWork(const TaskState& task) const;
   [[nodiscard]] bool BudgetAllowsStop(const TaskRef& ref) const;
   BackendEntry* FindBackend(const BackendId& id);
 
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -130,6 +130,8 @@
   bool config_reachable = true;
   Revision config_after;
   MonotonicTime config_next;
+  // How late answers of the table service are.
+  Millis store_delay{0};
   std::map<std::int64_t, WaveOrder> waves;
 
   bool owner_read = false;
@@ -169,8 +171,13 @@
 void EntryNode::Impl::PollConfig(MonotonicTime now) {
   if (config_in_flight || now < config_next) return;
   config_in_flight = true;
-  const auto take = Guard<const RowsAnswer&>([this, now](const RowsAnswer& answer) {
+  // After an outage the first answer comes at once, so that the node is ready again.
+  const Millis wait = config_read && config_reachable ? kConfigWait : Millis(0);
+  const auto take = Guard<const RowsAnswer&>([this, now, wait](const RowsAnswer& answer) {
     config_in_flight = false;
+    const bool waited = answer.outcome != StoreOutcome::kDone || answer.rows.empty();
+    const Millis delay = waited ? ports.now() - now - wait : Millis(0);
+    store_delay = std::clamp(delay, store_delay / 2, kStoreTimeout);
     const bool reached = answer.outcome == StoreOutcome::kDone;
     if (reached != config_reachable) {
       config_reachable = reached;
@@ -191,8 +198,6 @@
   });
   const std::string table = ports.reader.OperatorTable();
   if (config_read) {
-    // After an outage the first answer comes at once, so that the node is ready again.
-    const Millis wait = config_reachable ? kConfigWait : Millis(0);
     ports.store.Follow(table, config_after, wait, kConfigWait + kFeedSlack, take);
   } else {
     ports.store.Read(table, "", "", "", kStoreTimeout, take);
@@ -258,7 +263,7 @@
   // The row must have been confirmed lately: a node that is cut off claims nothing.
   const bool connected = now - owner_confirmed < kOwnerWait + kFeedSlack;
   if (stopping || claiming || !desk.config() || !connected) return;
-  const auto write = lease.Claim(now);
+  const auto write = lease.Claim(now, store_delay);
   if (!write) return;
   claiming = true;
   RowTransaction tx;
--- a/coordination/src/fleet_lease.cc
+++ b/coordination/src/fleet_lease.cc
@@ -16,6 +16,7 @@
   boost::json::object row;
   row["holder"] = holder.str();
   row["token"] = static_cast<std::int64_t>(token.count());
+  row["started"] = started.count();
   if (released) row["released"] = true;
   return boost::json::serialize(row);
 }
@@ -29,6 +30,7 @@
   row.holder = NodeId(holder);
   row.token = Epoch(static_cast<std::uint64_t>(token));
   row.released = BoolField(object, "released");
+  row.started = UnixMillis(IntField(object, "started"));
   return row;
 }
 
@@ -42,18 +44,24 @@
   if (owner_ && (!row_ || row_->holder != settings_.self || row_->released)) owner_ = false;
 }
 
-std::optional<FleetLease::Write> FleetLease::Claim(MonotonicTime now) {
-  if (!observed_ || owner_ || claiming_) return std::nullopt;
-  // A row with this node's own name is a claim whose answer was lost; it is renewed, not waited
-  // for.
-  const bool own = row_ && row_->holder == settings_.self && !row_->released;
-  // A VM runs one process of the daemon, so an earlier one of this VM has ended.
-  const bool predecessor = row_ && VmOf(row_->holder) == VmOf(settings_.self);
-  const bool free = !row_ || row_->released || own || predecessor;
-  if (!free && now < seen_ + settings_.lease + settings_.takeover_margin) return std::nullopt;
+MonotonicTime FleetLease::ClaimableAt(Millis store_delay) const {
+  if (!row_) return seen_;
+  if (row_->released) {
+    return settings_.started > row_->started ? seen_ : seen_ + settings_.elder_delay;
+  }
+  // This VM runs one process of the daemon, so an earlier one has ended. A row with this node's own
+  // name is a claim whose answer was lost.
+  if (VmOf(row_->holder) == VmOf(settings_.self)) return seen_;
+  // The delay of a renewal, of its sight here, and of a repeated one.
+  constexpr int kDelays = 3;
+  return seen_ + settings_.lease + settings_.takeover_margin + kDelays * store_delay;
+}
+
+std::optional<FleetLease::Write> FleetLease::Claim(MonotonicTime now, Millis store_delay) {
+  if (!observed_ || owner_ || claiming_ || now < ClaimableAt(store_delay)) return std::nullopt;
   claiming_ = true;
   const std::uint64_t token = row_ ? row_->token.count() + 1 : 1;
-  return Write{OwnerRow{settings_.self, Epoch(token), false}, revision_};
+  return Write{OwnerRow{settings_.self, Epoch(token), false, settings_.started}, revision_};
 }
 
 bool FleetLease::RenewalDue(MonotonicTime now) const {
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <deque>
 
 #include "sapphirewheel/coordination/stored_job.h"
 #include "sapphirewheel/state/json.h"
@@ -24,8 +23,6 @@
 // Pauses between two reads of a change feed, so that one read carries several changes.
 constexpr Millis kJobsPause{25};
 constexpr Millis kRegistryPause{50};
-// Time for a full read before the feed is asked again.
-constexpr Millis kResyncTime{1500};
 constexpr Millis kVmListInterval{700};
 constexpr Millis kCleanInterval{500};
 constexpr Millis kLendInterval{100};
@@ -39,6 +36,20 @@
   bool in_flight = false;
 };
 
+// Runs a task when the last of several reads has let go of it.
+class Gather {
+ public:
+  explicit Gather(std::function<void()> done) : done_(std::move(done)) {}
+  ~Gather() { done_(); }
+  Gather(const Gather&) = delete;
+  Gather& operator=(const Gather&) = delete;
+
+ private:
+  std::function<void()> done_;
+};
+using GatherRef = std::shared_ptr<Gather>;
+using TakeRow = std::function<void(const StoredRow&)>;
+
 }  // namespace
 
 namespace rows {
@@ -76,13 +87,16 @@
 
 struct FleetOwner::Impl : std::enable_shared_from_this<FleetOwner::Impl> {
   Impl(Settings given, FleetPorts given_ports, FleetLease& given_lease)
-      : settings(given), ports(std::move(given_ports)), lease(given_lease) {}
+      : settings(given), ports(std::move(given_ports)), lease(given_lease), taken_at(ports.now()) {}
 
   void Load();
-  void LoadPart(const std::string& table, const std::string& part, const std::string& from,
-                std::function<void(const StoredRow&)> take, std::function<void()> done);
-  void LoadJobParts(const std::string& after, std::function<void()> done);
-  void LoadNextJobPart(std::function<void()> done);
+  void LoadTables();
+  void ReadPart(const std::string& table, const std::string& part, const std::string& from,
+                const GatherRef& gather, const TakeRow& take);
+  void ReadJobs(const std::string& after, const GatherRef& gather, const TakeRow& take);
+  void Later(Millis delay, std::function<void()> task);
+  void RunLater(MonotonicTime now);
+  void Resync(Feed& feed, std::function<void(const GatherRef&)> read, std::function<void()> done);
   void TakeOwned(const StoredRow& row);
   [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
   [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
@@ -105,7 +119,7 @@
 
   // Wraps a callback so that it is dropped when the owner is gone.
   template <typename... Args, typename F>
-  std::function<void(Args...)> Guard(F task) {
+  [[nodiscard]] std::function<void(Args...)> Guard(F task) {
     return [weak = this->weak_from_this(), task = std::move(task)](Args... args) {
       if (const auto self = weak.lock()) task(args...);
     };
@@ -126,18 +140,18 @@
   std::map<std::int64_t, std::set<VmId>> finished_vms;
   std::set<std::int64_t> known_waves;
 
+  const MonotonicTime taken_at;
   bool loading = false;
   bool running = false;
   bool releasing = false;
   MonotonicTime retry_load;
-  std::deque<std::string> job_parts;
   std::vector<StoredRow> loaded_jobs;
   std::map<JobId, JobProgress> loaded_progress;
   std::vector<StoredRow> loaded_backends;
   Roster roster;
   Feed jobs_feed{rows::kJobs, Revision(), kJobsPause, {}, false};
   Feed registry_feed;
-  std::set<BackendId> resync_seen;
+  std::vector<std::pair<MonotonicTime, std::function<void()>>> later;
 
   bool committing = false;
   // The last write may still be carried out.
@@ -157,13 +171,10 @@
   std::vector<JobId> cleaned;
 };
 
-// Loading: rows that only owners write first, as all that changes later is in the feeds.
+// Reads what is stored: first the rows whose revision is the start of the feeds, then the rest in
+// parallel, as each answer of a slow store takes its time.
 void FleetOwner::Impl::Load() {
   loading = true;
-  loaded_jobs.clear();
-  loaded_progress.clear();
-  loaded_backends.clear();
-  job_parts.clear();
   ports.store.Read(rows::kOwned, rows::kOwnerPart, "", "", kStoreTimeout,
                    OnRows([this](const RowsAnswer& answer) {
                      if (answer.outcome != StoreOutcome::kDone) {
@@ -176,22 +187,25 @@
                      store_now = answer.now;
                      store_read = ports.now();
                      for (const StoredRow& row : answer.rows) TakeOwned(row);
-                     LoadPart(
-                         rows::kProgress, rows::kOwnerPart, "",
-                         [this](const StoredRow& row) {
-                           auto progress = JobProgress::Decode(row.value);
-                           if (progress)
-                             loaded_progress[JobId(row.at.key)] = std::move(progress.value());
-                         },
-                         [this] {
-                           LoadPart(
-                               ports.reader.RegistryTable(), "", "",
-                               [this](const StoredRow& row) { loaded_backends.push_back(row); },
-                               [this] { LoadJobParts("", [this] { StartRunning(); }); });
-                         });
+                     LoadTables();
                    }));
 }
 
+void FleetOwner::Impl::LoadTables() {
+  const auto gather = std::make_shared<Gather>(Guard([this] { StartRunning(); }));
+  ReadPart(rows::kProgress, rows::kOwnerPart, "", gather, [this](const StoredRow& row) {
+    auto progress = JobProgress::Decode(row.value);
+    if (progress) {
+      loaded_progress[JobId(row.at.key)] = std::move(progress.value());
+    } else if (ports.note) {
+      ports.note(NodeEvent::kJobUnreadable, row.at.key + ": " + progress.error().message);
+    }
+  });
+  ReadPart(ports.reader.RegistryTable(), "", "", gather,
+           [this](const StoredRow& row) { loaded_backends.push_back(row); });
+  ReadJobs("", gather, [this](const StoredRow& row) { loaded_jobs.push_back(row); });
+}
+
 // Times in the row are on the store's clock, which all owners share.
 std::string FleetOwner::Impl::EncodeRoster(const Roster& entries) const {
   boost::json::object row;
@@ -233,57 +247,53 @@
   }
 }
 
-void FleetOwner::Impl::LoadPart(const std::string& table, const std::string& part,
-                                const std::string& from, std::function<void(const StoredRow&)> take,
-                                std::function<void()> done) {
+// Reads all rows of a part, page by page, each again until it is answered.
+void FleetOwner::Impl::ReadPart(const std::string& table, const std::string& part,
+                                const std::string& from, const GatherRef& gather,
+                                const TakeRow& take) {
   ports.store.Read(table, part, from, "", kStoreTimeout,
-                   OnRows([this, table, part, from, take = std::move(take),
-                           done = std::move(done)](const RowsAnswer& answer) {
+                   OnRows([this, table, part, from, gather, take](const RowsAnswer& answer) {
                      if (answer.outcome != StoreOutcome::kDone) {
-                       loading = false;
-                       retry_load = ports.now() + kRetry;
+                       Later(kRetry, [this, table, part, from, gather, take] {
+                         ReadPart(table, part, from, gather, take);
+                       });
                        return;
                      }
                      for (const StoredRow& row : answer.rows) take(row);
                      if (answer.more && !answer.rows.empty()) {
                        // The smallest key above the last one.
-                       const std::string next = answer.rows.back().at.key + '\0';
-                       LoadPart(table, part, next, take, done);
-                     } else {
-                       done();
+                       ReadPart(table, part, answer.rows.back().at.key + '\0', gather, take);
                      }
                    }));
 }
 
-void FleetOwner::Impl::LoadJobParts(const std::string& after, std::function<void()> done) {
+void FleetOwner::Impl::ReadJobs(const std::string& after, const GatherRef& gather,
+                                const TakeRow& take) {
   constexpr std::size_t kPartsPerPage = 1000;
   ports.store.ListParts(
       rows::kJobs, after, kStoreTimeout,
-      Guard<const PartsAnswer&>([this, done = std::move(done)](const PartsAnswer& answer) {
+      Guard<const PartsAnswer&>([this, after, gather, take](const PartsAnswer& answer) {
         if (answer.outcome != StoreOutcome::kDone) {
-          loading = false;
-          retry_load = ports.now() + kRetry;
+          Later(kRetry, [this, after, gather, take] { ReadJobs(after, gather, take); });
           return;
         }
-        job_parts.insert(job_parts.end(), answer.parts.begin(), answer.parts.end());
-        if (answer.parts.size() >= kPartsPerPage) {
-          LoadJobParts(answer.parts.back(), done);
-        } else {
-          LoadNextJobPart(done);
-        }
+        for (const std::string& part : answer.parts) ReadPart(rows::kJobs, part, "", gather, take);
+        if (answer.parts.size() >= kPartsPerPage) ReadJobs(answer.parts.back(), gather, take);
       }));
 }
 
-void FleetOwner::Impl::LoadNextJobPart(std::function<void()> done) {
-  if (job_parts.empty()) {
-    done();
-    return;
-  }
-  const std::string part = job_parts.front();
-  job_parts.pop_front();
-  LoadPart(
-      rows::kJobs, part, "", [this](const StoredRow& row) { loaded_jobs.push_back(row); },
-      [this, done = std::move(done)] { LoadNextJobPart(done); });
+void FleetOwner::Impl::Later(Millis delay, std::function<void()> task) {
+  later.emplace_back(ports.now() + delay, std::move(task));
+}
+
+void FleetOwner::Impl::RunLater(MonotonicTime now) {
+  std::vector<std::function<void()>> due;
+  std::erase_if(later, [&](auto& it) {
+    if (it.first > now) return false;
+    due.push_back(std::move(it.second));
+    return true;
+  });
+  for (const auto& task : due) task();
 }
 
 void FleetOwner::Impl::StartRunning() {
@@ -293,7 +303,7 @@
   Dispatcher::Settings dispatcher_settings = settings.dispatcher;
   dispatcher_settings.token = lease.token();
   dispatcher = std::make_unique<Dispatcher>(dispatcher_settings, DispatcherHooks(), now);
-  dispatcher->SetRoster(roster);
+  dispatcher->SetRoster(roster, taken_at);
   if (config) dispatcher->SetConfig(config);
   for (const StoredRow& row : loaded_backends) TakeBackend(row);
   for (const StoredRow& row : loaded_jobs) TakeJob(row, true);
@@ -355,48 +365,50 @@
                      }));
 }
 
-// Reads all jobs again when the feed's history is gone. The feed goes on from before the first
-// read.
-void FleetOwner::Impl::ResyncJobs() {
-  jobs_feed.in_flight = true;
+// Reads a table again whose feed has lost its history; the feed goes on from before the read.
+void FleetOwner::Impl::Resync(Feed& feed, std::function<void(const GatherRef&)> read,
+                              std::function<void()> done) {
+  feed.in_flight = true;
   ports.store.Read(rows::kOwned, rows::kOwnerPart, rows::kRoster, "", kStoreTimeout,
-                   OnRows([this](const RowsAnswer& answer) {
-                     jobs_feed.in_flight = false;
-                     jobs_feed.next = ports.now() + kResyncTime;
-                     if (answer.outcome != StoreOutcome::kDone) return;
+                   OnRows([this, &feed, read, done](const RowsAnswer& answer) {
+                     if (answer.outcome != StoreOutcome::kDone) {
+                       Later(kRetry, [this, &feed, read, done] { Resync(feed, read, done); });
+                       return;
+                     }
                      const Revision start = answer.newest;
-                     loaded_jobs.clear();
-                     LoadJobParts("", [this, start] {
-                       for (const StoredRow& row : loaded_jobs) TakeJob(row, false);
-                       loaded_jobs.clear();
-                       jobs_feed.after = std::max(jobs_feed.after, start);
-                     });
+                     read(std::make_shared<Gather>(Guard([&feed, done, start] {
+                       if (done) done();
+                       feed.after = std::max(feed.after, start);
+                       feed.in_flight = false;
+                     })));
                    }));
 }
 
+void FleetOwner::Impl::ResyncJobs() {
+  Resync(
+      jobs_feed,
+      [this](const GatherRef& gather) {
+        ReadJobs("", gather, [this](const StoredRow& row) { TakeJob(row, false); });
+      },
+      nullptr);
+}
+
 void FleetOwner::Impl::ResyncRegistry() {
-  registry_feed.in_flight = true;
-  ports.store.Read(ports.reader.RegistryTable(), "", "", "", kStoreTimeout,
-                   OnRows([this](const RowsAnswer& first) {
-                     registry_feed.in_flight = false;
-                     registry_feed.next = ports.now() + kResyncTime;
-                     if (first.outcome != StoreOutcome::kDone) return;
-                     const Revision start = first.newest;
-                     resync_seen.clear();
-                     LoadPart(
-                         ports.reader.RegistryTable(), "", "",
-                         [this](const StoredRow& row) {
-                           resync_seen.insert(BackendId(row.at.key));
-                           TakeBackend(row);
-                         },
-                         [this, start] {
-                           for (const auto& it : dispatcher->Backends()) {
-                             if (resync_seen.count(it.id) == 0)
-                               dispatcher->RemoveBackend(it.id, ports.now());
-                           }
-                           registry_feed.after = std::max(registry_feed.after, start);
-                         });
-                   }));
+  const auto seen = std::make_shared<std::set<BackendId>>();
+  Resync(
+      registry_feed,
+      [this, seen](const GatherRef& gather) {
+        seen->clear();
+        ReadPart(ports.reader.RegistryTable(), "", "", gather, [this, seen](const StoredRow& row) {
+          seen->insert(BackendId(row.at.key));
+          TakeBackend(row);
+        });
+      },
+      [this, seen] {
+        for (const auto& it : dispatcher->Backends()) {
+          if (seen->count(it.id) == 0) dispatcher->RemoveBackend(it.id, ports.now());
+        }
+      });
 }
 
 void FleetOwner::Impl::Commit() {
@@ -609,6 +621,7 @@
 }
 
 void FleetOwner::Impl::Tick(MonotonicTime now) {
+  RunLater(now);
   if (!running) {
     if (!loading && now >= retry_load) Load();
     Commit();
--- /dev/null
+++ b/coordination/tests/dispatcher_test.cc
@@ -0,0 +1,294 @@
+#include "sapphirewheel/coordination/dispatcher.h"
+
+#include <deque>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace sapphirewheel;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr Resources kServer{8000, 16'000, 0};
+
+StepSpec Step(int count, std::int64_t cpu) {
+  StepSpec step;
+  step.count = count;
+  step.each = {cpu, 100, 0};
+  step.estimate = Millis(1000);
+  return step;
+}
+
+}  // namespace
+
+// One dispatcher whose orders are answered by the test.
+TEST_GROUP(Dispatcher) {
+  int now_ms = 0;
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::deque<LookOrder> looks;
+  std::map<BackendId, std::vector<ListedRun>> running;
+  std::map<BackendId, std::vector<ListedEnd>> ended;
+  std::set<BackendId> silent;
+  std::size_t written = 0;
+  std::unique_ptr<Dispatcher> dispatcher;
+
+  MonotonicTime Now() const { return MonotonicTime(Millis(now_ms)); }
+
+  void setup() override { Make(1); }
+
+  void Make(std::uint64_t token) {
+    Dispatcher::Hooks hooks;
+    hooks.start = [this](const StartOrder& it) { starts.push_back(it); };
+    hooks.stop = [this](const StopOrder& it) { stops.push_back(it); };
+    hooks.look = [this](const LookOrder& it) { looks.push_back(it); };
+    hooks.wall_clock = [this] { return UnixMillis(now_ms); };
+    Dispatcher::Settings settings;
+    settings.token = Epoch(token);
+    dispatcher = std::make_unique<Dispatcher>(settings, hooks, Now());
+    auto config = std::make_shared<DispatchConfig>();
+    config->pools = {{PoolId("p"), false, false}};
+    QueuePolicy queue;
+    queue.id = QueueId("q");
+    queue.pool = PoolId("p");
+    queue.attempts = 2;
+    queue.stretch = 2;
+    config->queues = {queue};
+    config->teams = {TeamPolicy{TeamId("t"), {}, 1, {3000, 0, 0}}};
+    dispatcher->SetConfig(config);
+  }
+
+  void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"}) {
+    BackendReport report;
+    report.id = BackendId(id);
+    report.pool = PoolId("p");
+    report.capacity = kServer;
+    report.labels = std::move(labels);
+    report.born = UnixMillis(1);
+    dispatcher->UpsertBackend(report, Now());
+  }
+
+  void AddJob(const char* id, std::vector<StepSpec> steps, const char* team = "",
+              bool inherited = false) {
+    StoredJob job;
+    job.id = JobId(id);
+    job.queue = QueueId("q");
+    job.team = TeamId(team);
+    job.accepted_at = UnixMillis(now_ms);
+    job.spec.steps = std::move(steps);
+    dispatcher->AddJob(job, std::nullopt, inherited, Now());
+  }
+
+  // Passes time; looks are answered from `running` and `ended`, starts are confirmed.
+  void Pass(int ms) {
+    for (const int until = now_ms + ms; now_ms < until; now_ms += 20) {
+      if (const auto roster = dispatcher->RosterToWrite()) dispatcher->RosterWritten(*roster);
+      constexpr std::size_t kBatch = 100;
+      written += dispatcher->TakeWrites(kBatch).size();
+      dispatcher->WritesDone(true);
+      const std::size_t before = starts.size();
+      dispatcher->Tick(Now(), true);
+      for (std::size_t n = before; n < starts.size(); ++n) Confirm(starts[n]);
+      const auto due = std::move(looks);
+      looks.clear();
+      for (const LookOrder& it : due) Answer(it);
+    }
+  }
+
+  void Confirm(const StartOrder& order) {
+    if (silent.count(order.backend) > 0) return;
+    running[order.backend].push_back({order.task, order.run, "", 100, 0});
+    dispatcher->OnStart(order, {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  }
+
+  void Answer(const LookOrder& order) {
+    LookAnswer answer;
+    if (silent.count(order.backend) == 0) {
+      answer.outcome = OrderOutcome::kDone;
+      answer.clock = BackendClock(now_ms);
+      answer.born = UnixMillis(1);
+      // Work that is not finished advances.
+      for (ListedRun& it : running[order.backend]) it.percent += it.percent < 99 ? 1 : 0;
+      answer.running = running[order.backend];
+      auto& ends = ended[order.backend];
+      std::erase_if(ends, [&](const auto& it) { return it.number <= order.acknowledged_end; });
+      answer.ended = ends;
+    }
+    dispatcher->OnLook(order, answer, Now() + Millis(1), Now() + Millis(1));
+  }
+
+  void End(const StartOrder& order, RunEnd how) {
+    std::erase_if(running[order.backend], [&](const auto& it) { return it.task == order.task; });
+    static std::int64_t number = 0;
+    ended[order.backend].push_back({++number, order.task, order.run, how, ""});
+  }
+};
+
+TEST(Dispatcher, NeverPlacesMoreThanABackendServerHolds) {
+  AddBackend("b1");
+  AddJob("j1", {Step(5, 3000)});
+  Pass(500);
+  LONGS_EQUAL(2, starts.size());
+  End(starts[0], RunEnd::kDone);
+  Pass(500);
+  LONGS_EQUAL(3, starts.size());
+}
+
+TEST(Dispatcher, StartsAStepWhenTheOnesBeforeAreDone) {
+  AddBackend("b1");
+  StepSpec second = Step(1, 1000);
+  second.after = {0};
+  AddJob("j1", {Step(2, 1000), second});
+  Pass(300);
+  LONGS_EQUAL(2, starts.size());
+  End(starts[0], RunEnd::kDone);
+  Pass(300);
+  LONGS_EQUAL(2, starts.size());
+  End(starts[1], RunEnd::kDone);
+  Pass(300);
+  LONGS_EQUAL(3, starts.size());
+  LONGS_EQUAL(1, starts[2].task.step);
+}
+
+TEST(Dispatcher, KeepsTheUpperLimitOfATeam) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(6, 1000)}, "t");
+  Pass(500);
+  LONGS_EQUAL(3, starts.size());
+}
+
+TEST(Dispatcher, FailsAJobAfterItsAttemptsAndNotBefore) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(200);
+  End(starts[0], RunEnd::kStopped);
+  Pass(300);
+  End(starts[1], RunEnd::kFailed);
+  Pass(300);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(starts[2].run > starts[1].run);
+  End(starts[2], RunEnd::kFailed);
+  Pass(500);
+  LONGS_EQUAL(3, starts.size());
+}
+
+TEST(Dispatcher, PlacesOnlyWhereTheRequiredLabelIs) {
+  AddBackend("b1", {"a", "r1"});
+  AddBackend("b2", {"b", "r2"});
+  StepSpec step = Step(2, 1000);
+  step.required_label = "b";
+  AddJob("j1", {step});
+  Pass(300);
+  LONGS_EQUAL(2, starts.size());
+  for (const auto& it : starts) CHECK(it.backend == BackendId("b2"));
+}
+
+TEST(Dispatcher, KeepsTasksOfAStepApart) {
+  AddBackend("b1");
+  AddBackend("b2");
+  StepSpec step = Step(3, 100);
+  step.per_server_limit = 1;
+  AddJob("j1", {step});
+  Pass(300);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[0].backend != starts[1].backend);
+}
+
+TEST(Dispatcher, StartsAGangAtOnceOrNotAtAll) {
+  AddBackend("b1");
+  StepSpec step = Step(3, 3000);
+  step.gang = true;
+  AddJob("j1", {step});
+  Pass(300);
+  LONGS_EQUAL(0, starts.size());
+  AddBackend("b2");
+  Pass(300);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(starts[0].run == starts[2].run);
+}
+
+TEST(Dispatcher, DrainingBackendServersGetNothingNew) {
+  AddBackend("b1");
+  Pass(100);
+  BackendReport report;
+  report.id = BackendId("b1");
+  report.pool = PoolId("p");
+  report.capacity = kServer;
+  report.draining = true;
+  report.born = UnixMillis(1);
+  dispatcher->UpsertBackend(report, Now());
+  AddJob("j1", {Step(1, 1000)});
+  Pass(500);
+  LONGS_EQUAL(0, starts.size());
+}
+
+// Runs on a silent backend server go on until its lease is over.
+TEST(Dispatcher, StartsElsewhereOnlyAfterTheLeaseOfASilentBackendServer) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  silent.insert(BackendId("b1"));
+  AddBackend("b2");
+  Pass(5500);
+  LONGS_EQUAL(1, starts.size());
+  Pass(5000);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b2"));
+}
+
+// A task whose backend server does not answer may be away.
+TEST(Dispatcher, MovesNoLastingTaskWhileAnotherMayBeAway) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddBackend("b3");
+  StepSpec step = Step(2, 1000);
+  step.lasting = true;
+  step.per_server_limit = 1;
+  step.unavailable_budget = 1;
+  AddJob("j1", {step});
+  Pass(500);
+  LONGS_EQUAL(2, starts.size());
+  silent.insert(starts[0].backend);
+  Pass(2000);
+  dispatcher->SetEvacuating(starts[1].backend, true);
+  Pass(1000);
+  LONGS_EQUAL(0, stops.size());
+  silent.clear();
+  Pass(4000);
+  LONGS_EQUAL(1, stops.size());
+}
+
+TEST(Dispatcher, StopsWhatACancelledJobRuns) {
+  AddBackend("b1");
+  AddJob("j1", {Step(2, 1000)});
+  Pass(300);
+  dispatcher->CancelJob(JobId("j1"), Now());
+  Pass(100);
+  LONGS_EQUAL(2, stops.size());
+}
+
+TEST(Dispatcher, ANewOwnerWaitsForTheRosterAndAdoptsWhatRuns) {
+  Make(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("gone"), {PoolId("p"), std::nullopt}}},
+                        Now());
+  AddBackend("b1");
+  running[BackendId("b1")].push_back({{JobId("j1"), 0, 0, 0}, RunNumber(3), "", 10, 0});
+  AddJob("j1", {Step(2, 1000)}, "", true);
+  Pass(3000);
+  LONGS_EQUAL(0, starts.size());
+  LONGS_EQUAL(0, stops.size());
+  Pass(5000);
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, starts[0].task.index);
+  CHECK(starts[0].run > RunNumber(1000));
+}
+
+TEST(Dispatcher, AHigherTokenEndsTheOwner) {
+  AddBackend("b1");
+  dispatcher->Tick(Now(), true);
+  LookAnswer answer;
+  answer.outcome = OrderOutcome::kFenced;
+  dispatcher->OnLook(looks.front(), answer, Now(), Now());
+  CHECK(dispatcher->fenced());
+}
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -334,6 +334,7 @@
   EntryNode::Settings settings;
   settings.self = NodeId(node.name + "#" + std::to_string(node.life));
   settings.lease.self = settings.self;
+  settings.lease.started = UnixMillis(kEpoch + now_);
   settings.lease.takeover_margin = Millis(300 + 100 * n);
   node.entry = std::make_unique<EntryNode>(settings, ports);
 }
