Ask the queues' advice service, serve metrics, bound log lines

Advice: a step of a queue with such a policy starts only where the service gave a ticket that is still valid; servers that it refused are not asked about again. Logs: at most 250 lines a second and event; the rest is counted and told.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -11,6 +11,8 @@
 #include <memory>
 
 #include "core_loop.h"
+#include "deployed_metrics.h"
+#include "log_limiter.h"
 #include "sapphirewheel/coordination/entry_node.h"
 #include "sapphirewheel/platform/deployment_settings.h"
 #include "sapphirewheel/platform/gateways.h"
@@ -122,18 +124,49 @@
   return Event::kInternalFault;
 }
 
-void LogDecision(const Decision& decision) {
-  if (decision.task.empty()) {
-    Log(EventOf(decision.kind), {{"job", decision.job.str()},
-                                 {"backend", decision.backend.str()},
-                                 {"detail", decision.detail}});
-    return;
+// Writes log lines within their limit and counts every event. On the node's thread.
+class EventLog {
+ public:
+  explicit EventLog(DeployedMetrics& metrics) : metrics_(metrics) {}
+
+  void Write(const Decision& decision) {
+    const Event event = EventOf(decision.kind);
+    if (!Count(event)) return;
+    if (decision.task.empty()) {
+      Log(event, {{"job", decision.job.str()},
+                  {"backend", decision.backend.str()},
+                  {"detail", decision.detail}});
+      return;
+    }
+    Log(event, {{"task", decision.task},
+                {"run", std::to_string(decision.run.count())},
+                {"backend", decision.backend.str()},
+                {"detail", decision.detail}});
+  }
+
+  void Write(NodeEvent node_event, const std::string& detail) {
+    const Event event = EventOf(node_event);
+    if (Count(event)) Log(event, {{"detail", detail}});
+  }
+
+  // Tells the lines that were left out.
+  void Tick(MonotonicTime now) {
+    while (const auto left_out = limiter_.TakeLeftOut(now)) {
+      Log(Event::kTelemetryDropped,
+          {{"of", Describe(left_out->event).name}, {"count", std::to_string(left_out->lines)}});
+      metrics_.SetLinesLeftOut(static_cast<double>(limiter_.total()));
+    }
+  }
+
+ private:
+  bool Count(Event event) {
+    metrics_.CountEvent(event);
+    return limiter_.Allow(event, BootTime());
   }
-  Log(EventOf(decision.kind), {{"task", decision.task},
-                               {"run", std::to_string(decision.run.count())},
-                               {"backend", decision.backend.str()},
-                               {"detail", decision.detail}});
-}
+
+  DeployedMetrics& metrics_;
+  LogLimiter limiter_;
+};
 
 EntryNode::Settings NodeSettings(const platform::DeploymentSettings& given, const NodeId& self) {
   EntryNode::Settings settings;
@@ -161,37 +194,46 @@
 
 class DeployedDaemon {
  public:
-  explicit DeployedDaemon(platform::DeploymentSettings settings)
+  DeployedDaemon(platform::DeploymentSettings settings, std::uint16_t metrics_port)
       : settings_(std::move(settings)),
         self_(NewNodeId(settings_.vm)),
         loop_(kRingCapacity),
         client_(ClientSettings()),
-        store_(client_, settings_.table_service, Post()),
+        wire_store_(client_, settings_.table_service, Post()),
+        store_(wire_store_, metrics_),
         backends_(client_, Post()) {
     if (settings_.vm_service) {
       vms_ =
           std::make_unique<platform::HttpVmService>(client_, *settings_.vm_service, self_, Post());
     }
-    FleetPorts ports{store_,
-                     backends_,
-                     vms_.get(),
-                     reader_,
-                     WallClock,
-                     BootTime,
-                     LogDecision,
-                     [](NodeEvent event, const std::string& detail) {
-                       Log(EventOf(event), {{"detail", detail}});
-                     }};
-    node_ = std::make_unique<EntryNode>(NodeSettings(settings_, self_), std::move(ports));
+    if (settings_.advice_service) {
+      advice_ =
+          std::make_unique<platform::HttpAdviceService>(client_, *settings_.advice_service, Post());
+    }
+    node_ = std::make_unique<EntryNode>(NodeSettings(settings_, self_), Ports());
     ingress_ = std::make_unique<platform::Ingress>(
         settings_, [this](const CallerCall& call, const platform::Ingress::Respond& respond) {
-          const bool queued =
-              loop_.TryPost([this, call, respond] { node_->Handle(call, respond); });
-          if (!queued) respond(Overloaded());
+          Take(call, respond);
         });
+    if (metrics_port != 0) {
+      HttpServer::Settings listener;
+      listener.listen = {settings_.address, metrics_port};
+      metrics_server_ = std::make_unique<HttpServer>(
+          listener, [this](const HttpRequest&, const HttpServer::Respond& respond) {
+            respond(HttpReply{200, "text/plain; version=0.0.4", metrics_.Render(), {}});
+          });
+    }
   }
 
-  Result<void> Start() { return ingress_->Start(); }
+  Result<void> Start() {
+    if (metrics_server_) {
+      // Work does not depend on the metrics, so a port that is taken is only told.
+      if (auto bound = metrics_server_->Start(); !bound) {
+        Log(Event::kSettingsInvalid, {{"fault", bound.error().message}});
+      }
+    }
+    return ingress_->Start();
+  }
 
   void Run(const std::atomic<bool>& stop_requested) {
     CoreLoop::Hooks hooks;
@@ -199,6 +241,7 @@
     hooks.after_batch = [] {};
     loop_.Run(hooks);
     ingress_->Stop();
+    if (metrics_server_) metrics_server_->Stop();
     client_.Stop();
   }
 
@@ -216,6 +259,31 @@
     return [this](std::function<void()> task) { loop_.Post(std::move(task)); };
   }
 
+  FleetPorts Ports() {
+    return FleetPorts{
+        store_,
+        backends_,
+        vms_.get(),
+        advice_.get(),
+        reader_,
+        WallClock,
+        BootTime,
+        [this](const Decision& decision) { log_.Write(decision); },
+        [this](NodeEvent event, const std::string& detail) { log_.Write(event, detail); }};
+  }
+
+  // On the listener's thread.
+  void Take(const CallerCall& call, const platform::Ingress::Respond& respond) {
+    const auto start = std::chrono::steady_clock::now();
+    const auto measured = [this, call, respond, start](const CallerReply& reply) {
+      const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - start;
+      metrics_.ObserveCall(call, reply, passed.count());
+      respond(reply);
+    };
+    const bool queued = loop_.TryPost([this, call, measured] { node_->Handle(call, measured); });
+    if (!queued) measured(Overloaded());
+  }
+
   static CallerReply Overloaded() {
     constexpr Millis kRetryAfter{1000};
     CallerReply reply;
@@ -228,6 +296,11 @@
   void Tick(bool stop_requested) {
     const MonotonicTime now = BootTime();
     node_->Tick(now);
+    log_.Tick(now);
+    if (node_->owner() != owner_) {
+      owner_ = node_->owner();
+      metrics_.SetOwner(owner_);
+    }
     const bool ready = node_->Ready(now) && !stop_requested;
     if (ready != ready_) {
       ready_ = ready;
@@ -252,14 +325,20 @@
   const platform::DeploymentSettings settings_;
   const NodeId self_;
   CoreLoop loop_;
+  DeployedMetrics metrics_;
+  EventLog log_{metrics_};
   HttpClient client_;
-  platform::HttpRowStore store_;
+  platform::HttpRowStore wire_store_;
+  MeteredRowStore store_;
   platform::HttpBackendServers backends_;
   std::unique_ptr<platform::HttpVmService> vms_;
+  std::unique_ptr<platform::HttpAdviceService> advice_;
   platform::WireReader reader_;
   std::unique_ptr<EntryNode> node_;
   std::unique_ptr<platform::Ingress> ingress_;
+  std::unique_ptr<HttpServer> metrics_server_;
   bool ready_ = false;
+  bool owner_ = false;
   bool refusing_ = false;
   std::optional<MonotonicTime> stopping_since_;
 };
@@ -294,7 +373,7 @@
   if (!telemetry) return Refuse(telemetry.error());
   auto loaded = platform::LoadDeploymentSettings(settings.deployment_file);
   if (!loaded) return Refuse(loaded.error());
-  DeployedDaemon daemon(std::move(loaded.value()));
+  DeployedDaemon daemon(std::move(loaded.value()), settings.metrics_port);
   if (auto started = daemon.Start(); !started) return Refuse(started.error());
   Log(Event::kStarted, {{"node", daemon.self().str()}, {"version", kVersion}});
   daemon.Run(stop_requested);
--- /dev/null
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -0,0 +1,116 @@
+#include "deployed_metrics.h"
+
+#include <chrono>
+#include <utility>
+
+namespace sapphirewheel {
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+double SecondsSince(SteadyClock::time_point start) {
+  return std::chrono::duration<double>(SteadyClock::now() - start).count();
+}
+
+const char* KindName(CallKind kind) {
+  switch (kind) {
+    case CallKind::kSubmit:
+      return "submit";
+    case CallKind::kRead:
+      return "read";
+    case CallKind::kCancel:
+      return "cancel";
+  }
+  return "read";
+}
+
+std::string OutcomeLabel(const CallerReply& reply) {
+  if (reply.kind == CallerReply::Kind::kError) return ErrorCode(reply.error.kind);
+  return reply.kind == CallerReply::Kind::kGone ? "gone" : "done";
+}
+
+const char* OutcomeLabel(StoreOutcome outcome) {
+  switch (outcome) {
+    case StoreOutcome::kDone:
+      return "done";
+    case StoreOutcome::kConflict:
+      return "conflict";
+    case StoreOutcome::kNotDone:
+      return "not-done";
+    case StoreOutcome::kUnknown:
+      return "unknown";
+    case StoreOutcome::kHistoryGone:
+      return "history-gone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void DeployedMetrics::CountEvent(Event event) {
+  registry_
+      .GetCounter("sapphirewheel_events_total", "Decisions and changes by event.",
+                  {{"event", Describe(event).name}})
+      .Add();
+}
+
+void DeployedMetrics::ObserveCall(const CallerCall& call, const CallerReply& reply,
+                                  double seconds) {
+  registry_
+      .GetHistogram("sapphirewheel_call_seconds", "Time to the answer of a caller's call.",
+                    DurationBounds(),
+                    {{"kind", KindName(call.kind)}, {"outcome", OutcomeLabel(reply)}})
+      .Observe(seconds);
+}
+
+void DeployedMetrics::ObserveStoreCall(const char* kind, StoreOutcome outcome, double seconds) {
+  registry_
+      .GetHistogram("sapphirewheel_store_seconds", "Time of a call to the table service.",
+                    DurationBounds(), {{"kind", kind}, {"outcome", OutcomeLabel(outcome)}})
+      .Observe(seconds);
+}
+
+void DeployedMetrics::SetOwner(bool owner) {
+  registry_.GetGauge("sapphirewheel_owner", "1 while this node places work.").Set(owner ? 1 : 0);
+}
+
+void DeployedMetrics::SetLinesLeftOut(double lines) {
+  registry_.GetGauge("sapphirewheel_log_lines_left_out", "Log lines beyond the limit, so far.")
+      .Set(lines);
+}
+
+void MeteredRowStore::Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) {
+  const auto start = SteadyClock::now();
+  next_.Commit(transaction, timeout, [this, start, done = std::move(done)](const RowsAnswer& it) {
+    metrics_.ObserveStoreCall("commit", it.outcome, SecondsSince(start));
+    done(it);
+  });
+}
+
+void MeteredRowStore::Read(const std::string& table, const std::string& part,
+                           const std::string& from, const std::string& to, Millis timeout,
+                           RowsCallback done) {
+  const auto start = SteadyClock::now();
+  next_.Read(table, part, from, to, timeout,
+             [this, start, done = std::move(done)](const RowsAnswer& it) {
+               metrics_.ObserveStoreCall("read", it.outcome, SecondsSince(start));
+               done(it);
+             });
+}
+
+void MeteredRowStore::ListParts(const std::string& table, const std::string& after, Millis timeout,
+                                PartsCallback done) {
+  const auto start = SteadyClock::now();
+  next_.ListParts(table, after, timeout,
+                  [this, start, done = std::move(done)](const PartsAnswer& it) {
+                    metrics_.ObserveStoreCall("parts", it.outcome, SecondsSince(start));
+                    done(it);
+                  });
+}
+
+void MeteredRowStore::Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
+                             RowsCallback done) {
+  next_.Follow(table, after, wait, timeout, std::move(done));
+}
+
+}  // namespace sapphirewheel
--- /dev/null
+++ b/apps/daemon/src/deployed_metrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+#include "sapphirewheel/coordination/caller_call.h"
+#include "sapphirewheel/coordination/fleet_ports.h"
+#include "sapphirewheel/transport/events.h"
+#include "sapphirewheel/transport/metrics.h"
+
+namespace sapphirewheel {
+
+// Counters, gauges and histograms of a daemon on the users' platform.
+class DeployedMetrics {
+ public:
+  // One decision or change, by the event that is logged for it.
+  void CountEvent(Event event);
+  // A caller's call that was answered.
+  void ObserveCall(const CallerCall& call, const CallerReply& reply, double seconds);
+  void ObserveStoreCall(const char* kind, StoreOutcome outcome, double seconds);
+  void SetOwner(bool owner);
+  void SetLinesLeftOut(double lines);
+
+  // Prometheus text format.
+  [[nodiscard]] std::string Render() const { return registry_.Render(); }
+
+ private:
+  MetricsRegistry registry_;
+};
+
+// Passes calls on and measures them.
+class MeteredRowStore final : public RowStore {
+ public:
+  MeteredRowStore(RowStore& next, DeployedMetrics& metrics) : next_(next), metrics_(metrics) {}
+
+  void Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) override;
+  void Read(const std::string& table, const std::string& part, const std::string& from,
+            const std::string& to, Millis timeout, RowsCallback done) override;
+  void ListParts(const std::string& table, const std::string& after, Millis timeout,
+                 PartsCallback done) override;
+  // Not measured: its time is mostly the wait that was asked for.
+  void Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
+              RowsCallback done) override;
+
+ private:
+  RowStore& next_;
+  DeployedMetrics& metrics_;
+};
+
+}  // namespace sapphirewheel
--- a/apps/daemon/src/settings.cc
+++ b/apps/daemon/src/settings.cc
@@ -105,6 +105,9 @@
   app.add_option("--deployment-file", settings.deployment_file,
                  "settings file of the users' platform, in place of the addresses below")
       ->envname("SAPPHIREWHEEL_DEPLOYMENT_FILE");
+  app.add_option("--metrics-port", settings.metrics_port,
+                 "port for metrics on the VM's address of the deployment file; 0: none")
+      ->envname("SAPPHIREWHEEL_METRICS_PORT");
   app.add_option("--vm", raw.vm, "id of this entry VM")->envname("SAPPHIREWHEEL_VM");
   app.add_option("--data-centre", raw.data_centre, "data centre of this VM")
       ->envname("SAPPHIREWHEEL_DATA_CENTRE");
--- a/apps/daemon/src/settings.h
+++ b/apps/daemon/src/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
   // Settings that the users' platform writes; when set, the daemon serves that platform and takes
   // addresses and bounds from there.
   std::string deployment_file;
+  // Port for metrics on the VM's address there; 0: none.
+  std::uint16_t metrics_port = 0;
   VmId vm;
   DataCentreId data_centre;
   Endpoint listen;
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -57,6 +57,24 @@
   int percent = 100;
 };
 
+// Ask the queue's policy which backend servers may run a step.
+struct AdviceOrder {
+  JobId job;
+  int occurrence = 0;
+  int step = 0;
+  std::vector<BackendId> backends;
+
+  // JOB.OCCURRENCE.STEP
+  [[nodiscard]] std::string StepName() const;
+};
+
+struct AdviceAnswer {
+  bool complete = false;
+  // Backend servers that may run the step, with their tickets; the others may not.
+  std::map<BackendId, std::string> tickets;
+  Millis validity{0};
+};
+
 enum class OrderOutcome {
   kDone,
   // A higher fencing token was seen there.
@@ -160,6 +178,7 @@
     std::function<void(const StopOrder&)> stop;
     std::function<void(const LookOrder&)> look;
     std::function<void(const PaceOrder&)> pace;
+    std::function<void(const AdviceOrder&)> advise;
     // Time of day; used only for due times and objectives.
     std::function<UnixMillis()> wall_clock;
     std::function<void(const Decision&)> report;
@@ -190,6 +209,7 @@
 
   void OnStart(const StartOrder& order, const OrderAnswer& answer, MonotonicTime now);
   void OnStop(const StopOrder& order, const OrderAnswer& answer, MonotonicTime now);
+  void OnAdvice(const AdviceOrder& order, const AdviceAnswer& answer, MonotonicTime now);
   // `sent` is when the look was sent.
   void OnLook(const LookOrder& order, const LookAnswer& answer, MonotonicTime sent,
               MonotonicTime now);
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -67,6 +67,8 @@
   BackendServers& backends;
   // Null where VMs are neither moved nor maintained.
   VmService* vms = nullptr;
+  // Null where no queue needs advice.
+  AdviceService* advice = nullptr;
   const PlatformReader& reader;
   std::function<UnixMillis()> wall_clock;
   std::function<MonotonicTime()> now;
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -123,6 +123,13 @@
                         std::function<void(VmOrderOutcome)> done) = 0;
 };
 
+// The service of the queues' policies that tells where a step may run.
+class AdviceService {
+ public:
+  virtual ~AdviceService() = default;
+  virtual void Advise(const AdviceOrder& order, std::function<void(const AdviceAnswer&)> done) = 0;
+};
+
 // Translates what operators, backend servers and callers write. The platform's adapter implements
 // it.
 class PlatformReader {
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -342,9 +342,18 @@
   TaskState& task = *ref.task;
   task.order_in_flight = true;
   ExtendLease(*task.backend);
-  hooks.start(StartOrder{task.backend->report.id, task.backend->report.address, settings.token, key,
-                         task.run, ref.job->stored.spec.payload, task.checkpoint, task.lease_until,
-                         ""});
+  StartOrder order{task.backend->report.id,
+                   task.backend->report.address,
+                   settings.token,
+                   key,
+                   task.run,
+                   ref.job->stored.spec.payload,
+                   task.checkpoint,
+                   task.lease_until,
+                   ""};
+  const auto advice = ref.step->advice.find(order.backend);
+  if (advice != ref.step->advice.end()) order.ticket = advice->second.ticket;
+  hooks.start(order);
 }
 
 // Repeats starts and stops without an answer.
@@ -434,7 +443,7 @@
     const QueuePolicy* queue = QueueOf(*ref.job);
     if (queue == nullptr) continue;
     const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
-    if (allowed && Pick(queue->pool, *ref.spec, *ref.step, *ref.task, {}) != nullptr) {
+    if (allowed && Pick(*queue, *ref.spec, *ref.step, *ref.task, {}) != nullptr) {
       BeginStop(key, ref);
     }
   }
@@ -501,6 +510,9 @@
       task.stop_confirmed = true;
       task.confirmed = now;
       return;
+    case OrderOutcome::kTicketRefused:
+      ref.step->advice.erase(order.backend);
+      break;
     case OrderOutcome::kMalformed:
       task.not_before = now + kMalformedPause;
       break;
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -23,6 +23,11 @@
 constexpr int kLateTier = 2;
 constexpr int kFillerTier = 3;
 
+// Backend servers in one call for advice, which takes time for each.
+constexpr std::size_t kAdvicePerCall = 30;
+// A ticket has to be valid for the way of a start.
+constexpr Millis kTicketReserve{200};
+
 bool HasLabel(const BackendReport& report, const std::string& label) {
   return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
@@ -76,13 +81,14 @@
   return score;
 }
 
-BackendEntry* Dispatcher::Impl::Pick(const PoolId& pool, const StepSpec& spec,
+BackendEntry* Dispatcher::Impl::Pick(const QueuePolicy& queue, const StepSpec& spec,
                                      const StepState& step, const TaskState& task,
                                      const std::map<BackendEntry*, Resources>& planned) {
   BackendEntry* best = nullptr;
   std::int64_t best_score = 0;
-  for (BackendEntry* it : PoolBackends(pool)) {
+  for (BackendEntry* it : PoolBackends(queue.pool)) {
     if (!Usable(*it)) continue;
+    if (queue.advice && !Advised(step, *it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
     // A filler slows the tasks that serve beside it.
     if (spec.fills && it->serving_tasks > 0) continue;
@@ -229,8 +235,9 @@
     TaskState& task = step.tasks[index];
     if (!MayStart(job, queue->pool, task)) continue;
     if (!WithinLimit(job.stored.team, spec.each)) return;
-    BackendEntry* backend = Pick(queue->pool, spec, step, task, {});
+    BackendEntry* backend = Pick(*queue, spec, step, task, {});
     if (backend == nullptr) {
+      if (queue->advice) AskAdvice(candidate, *queue);
       if (candidate.tier != kLastingTier) return;
       // Keeps the emptiest place free, or smaller work would take each gap first.
       BackendEntry* emptiest = nullptr;
@@ -246,6 +253,32 @@
   }
 }
 
+bool Dispatcher::Impl::Advised(const StepState& step, const BackendEntry& backend) const {
+  const auto it = step.advice.find(backend.report.id);
+  return it != step.advice.end() && !it->second.ticket.empty() &&
+         now_ + kTicketReserve < it->second.valid_until;
+}
+
+// Asks about the backend servers that have room and of which nothing, or an expired ticket, is
+// known.
+void Dispatcher::Impl::AskAdvice(const Candidate& candidate, const QueuePolicy& queue) {
+  if (advice_in_flight || !hooks.advise) return;
+  const StepSpec& spec = candidate.job->stored.spec.steps[candidate.step];
+  const StepState& step = candidate.occurrence->steps[candidate.step];
+  AdviceOrder order{candidate.job->stored.id, candidate.occurrence->number, candidate.step, {}};
+  for (const BackendEntry* it : PoolBackends(queue.pool)) {
+    if (order.backends.size() >= kAdvicePerCall) break;
+    if (!Usable(*it) || !(it->used + spec.Charge()).FitsIn(it->report.capacity)) continue;
+    if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
+    const auto known = step.advice.find(it->report.id);
+    const bool refused = known != step.advice.end() && known->second.ticket.empty();
+    if (!refused && !Advised(step, *it)) order.backends.push_back(it->report.id);
+  }
+  if (order.backends.empty()) return;
+  advice_in_flight = true;
+  hooks.advise(order);
+}
+
 // Starts all members of a gang at once, or none.
 void Dispatcher::Impl::PlaceGang(const Candidate& candidate, const QueuePolicy& queue) {
   JobEntry& job = *candidate.job;
@@ -265,8 +298,11 @@
   std::vector<BackendEntry*> places;
   std::map<BackendEntry*, int> members;
   for (TaskState& it : step.tasks) {
-    BackendEntry* backend = Pick(queue.pool, spec, step, it, planned);
-    if (backend == nullptr) return;
+    BackendEntry* backend = Pick(queue, spec, step, it, planned);
+    if (backend == nullptr) {
+      if (queue.advice) AskAdvice(candidate, queue);
+      return;
+    }
     if (spec.per_server_limit > 0 && ++members[backend] > spec.per_server_limit) return;
     planned[backend] += spec.Charge();
     places.push_back(backend);
@@ -278,4 +314,21 @@
   }
 }
 
+std::string AdviceOrder::StepName() const {
+  return job.str() + "." + std::to_string(occurrence) + "." + std::to_string(step);
+}
+
+void Dispatcher::OnAdvice(const AdviceOrder& order, const AdviceAnswer& answer, MonotonicTime now) {
+  impl_->now_ = now;
+  impl_->advice_in_flight = false;
+  impl_->place_due = answer.complete;
+  const TaskRef ref = impl_->Find({order.job, order.occurrence, order.step, 0});
+  if (!ref || !answer.complete) return;
+  for (const BackendId& it : order.backends) {
+    const auto ticket = answer.tickets.find(it);
+    ref.step->advice[it] = {ticket == answer.tickets.end() ? "" : ticket->second,
+                            now + answer.validity};
+  }
+}
+
 }  // namespace sapphirewheel
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -69,8 +69,16 @@
   BackendId failed_at;
 };
 
+// What the queue's policy said of a backend server for one step.
+struct Advice {
+  // Empty: it may not run the step, which does not change.
+  std::string ticket;
+  MonotonicTime valid_until;
+};
+
 struct StepState {
   std::vector<TaskState> tasks;
+  std::map<BackendId, Advice> advice;
   int done = 0;
   bool ready = false;
 };
@@ -230,8 +238,11 @@
   void Place();
   void CollectCandidates(std::vector<Candidate>& candidates);
   void PlaceStep(const Candidate& candidate);
+  // Whether a start on the backend server needs advice that is not known, or is refused by it.
+  [[nodiscard]] bool Advised(const StepState& step, const BackendEntry& backend) const;
+  void AskAdvice(const Candidate& candidate, const QueuePolicy& queue);
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
-  BackendEntry* Pick(const PoolId& pool, const StepSpec& spec, const StepState& step,
+  BackendEntry* Pick(const QueuePolicy& queue, const StepSpec& spec, const StepState& step,
                      const TaskState& task, const std::map<BackendEntry*, Resources>& planned);
   [[nodiscard]] bool Usable(const BackendEntry& backend) const;
   [[nodiscard]] std::int64_t Score(const BackendEntry& backend, const StepSpec& spec,
@@ -269,6 +280,8 @@
   std::map<std::uint64_t, JobId> dirty;
   std::map<std::uint64_t, JobId> writing;
   bool fenced = false;
+  // The advice service takes one call of a node at a time.
+  bool advice_in_flight = false;
   bool place_due = true;
   MonotonicTime next_place;
   MonotonicTime now_;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -580,6 +580,13 @@
   hooks.pace = [this](const PaceOrder& order) {
     ports.backends.Pace(order, [](const OrderAnswer&) {});
   };
+  if (ports.advice != nullptr) {
+    hooks.advise = [this](const AdviceOrder& order) {
+      ports.advice->Advise(order, Guard<const AdviceAnswer&>([this, order](const AdviceAnswer& it) {
+                             dispatcher->OnAdvice(order, it, ports.now());
+                           }));
+    };
+  }
   return hooks;
 }
 
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -26,6 +26,8 @@
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::deque<LookOrder> looks;
+  std::vector<AdviceOrder> advice;
+  std::optional<AdvicePolicy> advice_policy;
   std::map<BackendId, std::vector<ListedRun>> running;
   std::map<BackendId, std::vector<ListedEnd>> ended;
   std::set<BackendId> silent;
@@ -41,6 +43,7 @@
     hooks.start = [this](const StartOrder& it) { starts.push_back(it); };
     hooks.stop = [this](const StopOrder& it) { stops.push_back(it); };
     hooks.look = [this](const LookOrder& it) { looks.push_back(it); };
+    hooks.advise = [this](const AdviceOrder& it) { advice.push_back(it); };
     hooks.wall_clock = [this] { return UnixMillis(now_ms); };
     Dispatcher::Settings settings;
     settings.token = Epoch(token);
@@ -52,6 +55,7 @@
     queue.pool = PoolId("p");
     queue.attempts = 2;
     queue.stretch = 2;
+    queue.advice = advice_policy;
     config->queues = {queue};
     config->teams = {TeamPolicy{TeamId("t"), {}, 1, {3000, 0, 0}}};
     dispatcher->SetConfig(config);
@@ -284,6 +288,24 @@
   CHECK(starts[0].run > RunNumber(1000));
 }
 
+TEST(Dispatcher, StartsWithATicketWhereThePolicyAllowsIt) {
+  advice_policy = AdvicePolicy{Millis(10), Millis(1), Millis(3000)};
+  Make(1);
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  LONGS_EQUAL(0, starts.size());
+  LONGS_EQUAL(1, advice.size());
+  STRCMP_EQUAL("j1.0.0", advice[0].StepName().c_str());
+  LONGS_EQUAL(2, advice[0].backends.size());
+  dispatcher->OnAdvice(advice[0], {true, {{BackendId("b2"), "ticket"}}, Millis(3000)}, Now());
+  Pass(300);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(starts[0].backend == BackendId("b2"));
+  STRCMP_EQUAL("ticket", starts[0].ticket.c_str());
+}
+
 TEST(Dispatcher, AHigherTokenEndsTheOwner) {
   AddBackend("b1");
   dispatcher->Tick(Now(), true);
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -319,6 +319,7 @@
   FleetPorts ports{*node.stores.back(),
                    *node.backends.back(),
                    nullptr,
+                   nullptr,
                    *reader_,
                    [this] { return UnixMillis(kEpoch + now_); },
                    [this] { return MonotonicTime(Millis(now_)); },
