Refuse at once, unready, where the table service cannot be reached

Change: a node whose feed of the configuration fails is not ready and refuses submissions with 503 and Retry-After before anything is sent. The test fails without the refusal.

--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -62,9 +62,9 @@
   bool checkpoints = false;
   // The tasks work only together and end together.
   bool gang = false;
-  bool same_rack = false;
+  bool one_rack = false;
   // Copies may run in parallel.
-  bool speculative = false;
+  bool allows_copies = false;
   // The tasks run until the job is cancelled.
   bool lasting = false;
   // The tasks take the processor time that others leave, and count no processor capacity.
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -64,7 +64,7 @@
                                      const StepState& step, const TaskState& task) const {
   std::int64_t score = 0;
   if (!spec.near_rack.empty() && HasLabel(backend.report, spec.near_rack)) score += kNearData;
-  if (spec.same_rack) {
+  if (spec.one_rack) {
     const bool together =
         std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState& it) {
           return it.backend != nullptr && RackOf(it.backend->report) == RackOf(backend.report);
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -348,6 +348,12 @@
     pending->respond(Failure(spec.error()));
     return;
   }
+  // What surely cannot be stored is refused before anything is sent, so that the refusal is true
+  // and the caller goes to another node at once.
+  if (!config_reachable) {
+    pending->respond(Failure(Unavailable(false)));
+    return;
+  }
   pending->stored = StoredJob{pending->job,       admitted.queue, admitted.team,
                               ports.wall_clock(), false,          std::move(spec.value())};
   Submit(pending);
@@ -553,7 +559,7 @@
 }
 
 bool EntryNode::Ready(MonotonicTime now) const {
-  return !impl_->stopping && impl_->desk.Ready(now);
+  return !impl_->stopping && impl_->config_reachable && impl_->desk.Ready(now);
 }
 
 bool EntryNode::owner() const noexcept { return impl_->lease.owner(); }
--- a/coordination/src/stored_job.cc
+++ b/coordination/src/stored_job.cc
@@ -40,8 +40,8 @@
   if (!step.after.empty()) row["follows"] = json::array(step.after.begin(), step.after.end());
   PutFlag(row, "checkpoints", step.checkpoints);
   PutFlag(row, "together", step.gang);
-  PutFlag(row, "one_rack", step.same_rack);
-  PutFlag(row, "copies", step.speculative);
+  PutFlag(row, "one_rack", step.one_rack);
+  PutFlag(row, "copies", step.allows_copies);
   PutFlag(row, "lasting", step.lasting);
   PutFlag(row, "filler", step.fills);
   Put(row, "label", step.required_label);
@@ -64,8 +64,8 @@
   }
   step.checkpoints = BoolField(row, "checkpoints");
   step.gang = BoolField(row, "together");
-  step.same_rack = BoolField(row, "one_rack");
-  step.speculative = BoolField(row, "copies");
+  step.one_rack = BoolField(row, "one_rack");
+  step.allows_copies = BoolField(row, "copies");
   step.lasting = BoolField(row, "lasting");
   step.fills = BoolField(row, "filler");
   step.required_label = TextField(row, "label");
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "fleet_sim.h"
 
@@ -88,6 +89,27 @@
 
 TEST_GROUP(FleetSchedule){};
 
+// A caller that is refused at once, with nothing sent, may try another node.
+TEST(FleetSchedule, ANodeThatIsCutFromTheStoreRefusesAtOnce) {
+  FleetSim sim({});
+  sim.RunUntil(1500);
+  sim.nodes[1].cut_from_store = true;
+  sim.RunUntil(3400);
+  CHECK_FALSE(sim.nodes[1].entry->Ready(MonotonicTime(Millis(sim.now()))));
+  StoredJob job;
+  job.queue = QueueId("queue0");
+  job.spec.steps.resize(1);
+  CallerCall call{CallKind::kSubmit,    "host",      "/q0/00000000000000aa", "",
+                  EncodeStoredJob(job), Millis(3000)};
+  std::optional<CallerReply> reply;
+  sim.nodes[1].entry->Handle(call, [&](const CallerReply& it) { reply = it; });
+  CHECK(reply.has_value());
+  STRCMP_EQUAL("platform-unavailable", ErrorCode(reply->error.kind));
+  CHECK(reply->error.run == RunState::kNotRun);
+  CHECK(reply->error.retry_after.has_value());
+  CHECK(sim.nodes[0].entry->Ready(MonotonicTime(Millis(sim.now()))));
+}
+
 TEST(FleetSchedule, CalmDayFinishesAllJobs) {
   PlayAll({}, [](FleetSim&, int) {});
 }
