Count a VM as free only when all ends on it are written

Change: idle means settled; test first failed to compile against the old view, and IsIdle was true before the write.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -230,7 +230,7 @@
   void SetEvacuating(const BackendId& id, bool evacuating);
   // Backend servers that are better left free, so that tasks are not moved twice.
   void SetAvoided(const BackendId& id, bool avoided);
-  // Nothing runs there, and nothing may.
+  // Nothing runs there, nothing may, and all that ended is written down.
   [[nodiscard]] bool IsIdle(const BackendId& id) const;
   // The platform has ended everything on a backend server.
   void BackendEnded(const BackendId& id, MonotonicTime now);
@@ -241,6 +241,8 @@
     PoolId pool;
     int tasks = 0;
     int lasting_tasks = 0;
+    // Nothing runs there, and all that ended is written down.
+    bool settled = false;
     Resources used;
     Resources capacity;
     bool usable = false;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -174,7 +174,7 @@
 
 bool Dispatcher::IsIdle(const BackendId& id) const {
   const BackendEntry* backend = impl_->FindBackend(id);
-  return backend == nullptr || (backend->listed && !backend->HasRuns());
+  return backend == nullptr || (backend->listed && backend->IsSettled());
 }
 
 void Dispatcher::BackendEnded(const BackendId& id, MonotonicTime now) {
@@ -193,8 +193,9 @@
     if (!backend->registered) continue;
     const bool usable = backend->listed && !backend->failing && !backend->report.draining;
     views.push_back({id, backend->report.vm, backend->report.pool,
-                     static_cast<int>(backend->tasks.size()), backend->lasting_tasks, backend->used,
-                     backend->report.capacity, usable, backend->evacuating});
+                     static_cast<int>(backend->tasks.size()), backend->lasting_tasks,
+                     backend->IsSettled(), backend->used, backend->report.capacity, usable,
+                     backend->evacuating});
   }
   return views;
 }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -153,6 +153,8 @@
   // Reserved for a task that lasts in the present round of placement.
   bool reserved = false;
 
+  // Nothing runs, and all that ended is written down, so nothing is lost with the server.
+  [[nodiscard]] bool IsSettled() const { return !HasRuns() && unacknowledged.empty(); }
   [[nodiscard]] bool HasRuns() const { return !tasks.empty() || !strays.empty(); }
 };
 
--- a/coordination/src/pool_lender.cc
+++ b/coordination/src/pool_lender.cc
@@ -96,7 +96,7 @@
       entry.report.pool = view->pool;
     }
     entry.backend = view == nullptr ? BackendId() : view->id;
-    const bool idle = view != nullptr && view->usable && view->tasks == 0;
+    const bool idle = view != nullptr && view->usable && view->settled;
     if (idle && !entry.idle) entry.idle_since = now;
     entry.idle = idle;
     if (entry.target) {
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -262,6 +262,25 @@
   LONGS_EQUAL(1, stops.size());
 }
 
+// The list of ends goes with the backend server, so a VM is not free before they are written.
+TEST(Dispatcher, ABackendServerIsNotIdleBeforeItsEndsAreWritten) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  End(starts[0], RunEnd::kDone);
+  dispatcher->Tick(Now(), true);
+  now_ms += 200;
+  dispatcher->Tick(Now(), true);
+  for (const LookOrder& it : looks) Answer(it);
+  looks.clear();
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+  CHECK_FALSE(dispatcher->IsIdle(BackendId("b1")));
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  CHECK_FALSE(dispatcher->IsIdle(BackendId("b1")));
+  dispatcher->WritesDone(true);
+  CHECK(dispatcher->IsIdle(BackendId("b1")));
+}
+
 TEST(Dispatcher, StopsWhatACancelledJobRuns) {
   AddBackend("b1");
   AddJob("j1", {Step(2, 1000)});
--- a/coordination/tests/pool_lender_test.cc
+++ b/coordination/tests/pool_lender_test.cc
@@ -49,6 +49,7 @@
       view.capacity = {32'000, 64'000, 0};
       view.usable = true;
       view.tasks = tasks;
+      view.settled = tasks == 0;
       backends.push_back(view);
     }
     lender.SetVms(vms, At(0));
