--- a/apps/cli/src/commands.h
+++ b/apps/cli/src/commands.h
@@ -11,7 +11,7 @@
 
 namespace sapphirewheel {
 
-// Exit statuses of the command, as docs/operations.md lists them.
+// Exit statuses of the command, as docs/OPERATIONS.md lists them.
 inline constexpr int kExitOk = 0;
 inline constexpr int kExitRefused = 1;
 inline constexpr int kExitUsage = 2;
--- a/apps/cli/src/main.cc
+++ b/apps/cli/src/main.cc
@@ -1,8 +1,11 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "commands.h"
 #include "completions.h"
+#include "history.h"
 #include "sapphirewheel/transport/endpoint.h"
 
 namespace {
@@ -41,6 +44,11 @@
   std::string shell;
   auto* completions = app.add_subcommand("completions", "print completions for a shell");
   completions->add_option("shell", shell, "bash")->required()->check(CLI::IsMember({"bash"}));
+  std::string job;
+  std::vector<std::string> log_files;
+  auto* history = app.add_subcommand("history", "print what the logs of daemons say of a job");
+  history->add_option("job", job, "the job's id")->required();
+  history->add_option("files", log_files, "logs of all entry VMs; none: standard input");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& ex) {
@@ -50,6 +58,9 @@
     std::cout << sapphirewheel::BashCompletions(app);
     return sapphirewheel::kExitOk;
   }
+  if (history->parsed()) {
+    return sapphirewheel::PrintHistory(job, log_files, std::cin, std::cout, std::cerr);
+  }
   std::vector<sapphirewheel::Endpoint> daemons;
   for (const std::string& text : context.daemons) {
     const auto endpoint = sapphirewheel::ParseEndpoint(text);
--- a/apps/daemon/src/http_api.cc
+++ b/apps/daemon/src/http_api.cc
@@ -24,7 +24,7 @@
 
 Error NoSuchPath(const HttpRequest& request) {
   return Error{ErrorKind::kNotFound, request.method + " " + request.path + " does not exist",
-               "see docs/operations.md for the interface", RunState::kNotRun, std::nullopt};
+               "see docs/OPERATIONS.md for the interface", RunState::kNotRun, std::nullopt};
 }
 
 Error NotKnown(const std::string& kind, const std::string& id) {
