--- a/coordination/include/sapphirewheel/coordination/pool_lender.h
+++ b/coordination/include/sapphirewheel/coordination/pool_lender.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,7 @@
   void Observe(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now);
   void Plan(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now);
   [[nodiscard]] double ArrivingCores(PoolState& pool, std::int64_t arrived_work, MonotonicTime now);
+  [[nodiscard]] PoolId Neediest(const std::set<PoolId>& passed) const;
   void Raise(const std::function<bool(const VmId&)>& reserved, MonotonicTime now);
   void SwitchOff(const std::function<bool(const VmId&)>& reserved, MonotonicTime now);
   void Order(const VmId& vm, VmEntry& entry, const PoolId& target, MonotonicTime now);
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -96,7 +96,8 @@
   void ReadJobs(const std::string& after, const GatherRef& gather, const TakeRow& take);
   void Later(Millis delay, std::function<void()> task);
   void RunLater(MonotonicTime now);
-  void Resync(Feed& feed, std::function<void(const GatherRef&)> read, std::function<void()> done);
+  void Resync(Feed& feed, const std::function<void(const GatherRef&)>& read,
+              const std::function<void()>& done);
   void TakeOwned(const StoredRow& row);
   [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
   [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
@@ -113,6 +114,9 @@
   void ListVms();
   void Clean();
   void Tick(MonotonicTime now);
+  void Note(NodeEvent event, const std::string& detail) const {
+    if (ports.note) ports.note(event, detail);
+  }
   Dispatcher::Hooks DispatcherHooks();
   MaintenanceRunner::Hooks MaintenanceHooks();
   PoolLender::Hooks LenderHooks();
@@ -197,8 +201,8 @@
     auto progress = JobProgress::Decode(row.value);
     if (progress) {
       loaded_progress[JobId(row.at.key)] = std::move(progress.value());
-    } else if (ports.note) {
-      ports.note(NodeEvent::kJobUnreadable, row.at.key + ": " + progress.error().message);
+    } else {
+      Note(NodeEvent::kJobUnreadable, row.at.key + ": " + progress.error().message);
     }
   });
   ReadPart(ports.reader.RegistryTable(), "", "", gather,
@@ -307,11 +311,9 @@
   if (config) dispatcher->SetConfig(config);
   for (const StoredRow& row : loaded_backends) TakeBackend(row);
   for (const StoredRow& row : loaded_jobs) TakeJob(row, true);
-  if (ports.note) {
-    ports.note(NodeEvent::kLoaded, "jobs=" + std::to_string(loaded_jobs.size()) +
-                                       " backends=" + std::to_string(loaded_backends.size()) +
-                                       " roster=" + std::to_string(roster.size()));
-  }
+  Note(NodeEvent::kLoaded, "jobs=" + std::to_string(loaded_jobs.size()) +
+                               " backends=" + std::to_string(loaded_backends.size()) +
+                               " roster=" + std::to_string(roster.size()));
   loaded_jobs.clear();
   loaded_backends.clear();
   maintenance = std::make_unique<MaintenanceRunner>(MaintenanceHooks(), settings.maintenance_time);
@@ -326,7 +328,7 @@
   if (row.removed) return;
   auto job = DecodeStoredJob(id, row.value);
   if (!job) {
-    if (ports.note) ports.note(NodeEvent::kJobUnreadable, id.str() + ": " + job.error().message);
+    Note(NodeEvent::kJobUnreadable, id.str() + ": " + job.error().message);
     return;
   }
   std::optional<JobProgress> progress;
@@ -366,8 +368,8 @@
 }
 
 // Reads a table again whose feed has lost its history; the feed goes on from before the read.
-void FleetOwner::Impl::Resync(Feed& feed, std::function<void(const GatherRef&)> read,
-                              std::function<void()> done) {
+void FleetOwner::Impl::Resync(Feed& feed, const std::function<void(const GatherRef&)>& read,
+                              const std::function<void()>& done) {
   feed.in_flight = true;
   ports.store.Read(rows::kOwned, rows::kOwnerPart, rows::kRoster, "", kStoreTimeout,
                    OnRows([this, &feed, read, done](const RowsAnswer& answer) {
@@ -497,7 +499,7 @@
       return;
     }
   }
-  if (ports.note) ports.note(NodeEvent::kOwnershipLost, "another node holds the owner row");
+  Note(NodeEvent::kOwnershipLost, "another node holds the owner row");
   lease.StepDown();
 }
 
@@ -604,8 +606,7 @@
   hooks.is_idle = [this](const BackendId& id) { return dispatcher->IsIdle(id); };
   hooks.ended = [this](const BackendId& id) { dispatcher->BackendEnded(id, ports.now()); };
   hooks.report = [this](std::int64_t wave, const VmId& vm, const std::string& what) {
-    if (ports.note)
-      ports.note(NodeEvent::kWave, std::to_string(wave) + " " + vm.str() + " " + what);
+    Note(NodeEvent::kWave, std::to_string(wave) + " " + vm.str() + " " + what);
   };
   return hooks;
 }
@@ -621,9 +622,7 @@
   };
   hooks.evacuate = [this](const BackendId& id, bool on) { dispatcher->SetEvacuating(id, on); };
   hooks.ended = [this](const BackendId& id) { dispatcher->BackendEnded(id, ports.now()); };
-  hooks.report = [this](const std::string& what) {
-    if (ports.note) ports.note(NodeEvent::kVmMoved, what);
-  };
+  hooks.report = [this](const std::string& what) { Note(NodeEvent::kVmMoved, what); };
   return hooks;
 }
 
@@ -637,8 +636,7 @@
   const bool may_order = lease.MayAct(now) && !releasing;
   dispatcher->Tick(now, may_order);
   if (dispatcher->fenced()) {
-    if (ports.note)
-      ports.note(NodeEvent::kOwnershipLost, "a backend server saw a higher fencing token");
+    Note(NodeEvent::kOwnershipLost, "a backend server saw a higher fencing token");
     lease.StepDown();
     return;
   }
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -127,8 +127,9 @@
     }
   }
   if (const auto* finished = row.if_contains("finished"); finished != nullptr) {
-    for (const std::int64_t n : Numbers(*finished, 0))
+    for (const std::int64_t n : Numbers(*finished, 0)) {
       progress.finished_.insert(static_cast<int>(n));
+    }
   }
   return progress;
 }
--- a/coordination/src/pool_lender.cc
+++ b/coordination/src/pool_lender.cc
@@ -183,15 +183,34 @@
   return idle;
 }
 
+// The pool that has the smallest part of what it wants, among those that may still get a VM.
+PoolId PoolLender::Neediest(const std::set<PoolId>& passed) const {
+  PoolId neediest;
+  double least = 1;
+  for (const auto& [id, pool] : pools_) {
+    if (IsSpare(id) || config_->FindPool(id) == nullptr || passed.count(id) > 0) continue;
+    const int has = pool.present + pool.coming;
+    if (has >= pool.wanted) continue;
+    const double part = static_cast<double>(has) / pool.wanted;
+    if (part < least) {
+      least = part;
+      neediest = id;
+    }
+  }
+  return neediest;
+}
+
+// Gives VMs one by one, so that pools that want more than there is get equal parts of it.
 void PoolLender::Raise(const std::function<bool(const VmId&)>& reserved, MonotonicTime now) {
-  for (auto& [id, pool] : pools_) {
-    if (IsSpare(id) || config_->FindPool(id) == nullptr) continue;
-    while (pool.present + pool.coming < pool.wanted) {
-      VmEntry* entry = PickFor(id, reserved, now);
-      if (entry == nullptr) break;
-      if (!IsSpare(entry->report.pool)) --pools_[entry->report.pool].present;
-      Order(entry->report.vm, *entry, id, now);
+  std::set<PoolId> passed;
+  for (PoolId id = Neediest(passed); !id.empty(); id = Neediest(passed)) {
+    VmEntry* entry = PickFor(id, reserved, now);
+    if (entry == nullptr) {
+      passed.insert(id);
+      continue;
     }
+    if (!IsSpare(entry->report.pool)) --pools_[entry->report.pool].present;
+    Order(entry->report.vm, *entry, id, now);
   }
 }
 
--- a/coordination/tests/pool_lender_test.cc
+++ b/coordination/tests/pool_lender_test.cc
@@ -1,5 +1,7 @@
 #include "sapphirewheel/coordination/pool_lender.h"
 
+#include <algorithm>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace sapphirewheel;  // NOLINT(google-build-using-namespace)
@@ -92,6 +94,20 @@
   for (const auto& [vm, pool] : moves) CHECK(pool == PoolId("a"));
 }
 
+// A pool whose demand grows without bound must not take all VMs.
+TEST(PoolLender, SharesWhatIsThereByNeed) {
+  AddVms("a", 2, 3);
+  AddVms("b", 2, 3);
+  AddVms("off", 6, 0);
+  Play(0, 1000);
+  loads[PoolId("a")].waiting_work = 40 * kServerSecond;
+  loads[PoolId("b")].waiting_work = 40 * kServerSecond;
+  Play(1100, 1100);
+  LONGS_EQUAL(6, moves.size());
+  LONGS_EQUAL(3, std::count_if(moves.begin(), moves.end(),
+                               [](const auto& it) { return it.second == PoolId("b"); }));
+}
+
 TEST(PoolLender, TriesARefusedMoveNoMore) {
   AddVms("a", 3, 0);
   AddVms("b", 2, 0);
