--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -167,7 +167,7 @@
     // A backend server without an answer for this time gets no new work.
     Millis suspect_after{1200};
     // Longest wait of a look for an end.
-    Millis look_wait{1900};
+    Millis look_wait{800};
     // Pause between two looks, so that one look shows several ends.
     Millis look_pause{70};
     // Earliest start before an occurrence's due time.
--- a/coordination/include/sapphirewheel/coordination/pool_lender.h
+++ b/coordination/include/sapphirewheel/coordination/pool_lender.h
@@ -85,6 +85,10 @@
     std::optional<PoolId> target;
     MonotonicTime ordered;
     bool order_open = false;
+    // Set while an order had no answer.
+    std::optional<MonotonicTime> retry_at;
+    // Not moved again before, as an unanswered order may still be carried out.
+    MonotonicTime held_until;
   };
 
   void Observe(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now);
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -13,6 +13,7 @@
 // A task without progress for this time, or for half of its estimate, stands still.
 constexpr Millis kStuckAfter{2500};
 constexpr Millis kFailedPause{50};
+constexpr Millis kRecentAnswer{400};
 constexpr Millis kRefusedPause{300};
 constexpr Millis kMalformedPause{2000};
 constexpr int kFull = 100;
@@ -95,6 +96,8 @@
 }
 
 void Dispatcher::Impl::Failed(BackendEntry& backend) {
+  // One lost answer among others says nothing of the server.
+  if (now_ - backend.last_answer < kRecentAnswer) return;
   backend.failing = true;
   if (!backend.suspect_reported && now_ - backend.last_answer > settings.suspect_after) {
     backend.suspect_reported = true;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 #include "sapphirewheel/coordination/stored_job.h"
 #include "sapphirewheel/state/json.h"
@@ -112,6 +113,8 @@
   void Committed(const RowsAnswer& answer, bool renewed, bool released, MonotonicTime sent);
   void WriteWaveStatus();
   void ListVms();
+  void QueueFences(const std::vector<VmReport>& vms);
+  void SendFence();
   void Clean();
   void Tick(MonotonicTime now);
   void Note(NodeEvent event, const std::string& detail) const {
@@ -139,6 +142,9 @@
   std::unique_ptr<MaintenanceRunner> maintenance;
   std::unique_ptr<PoolLender> lender;
   MonotonicTime next_lend;
+  bool vms_fenced = false;
+  // VMs that the platform has to be shown this owner's token for.
+  std::vector<std::pair<VmId, PoolId>> fences;
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
   std::map<std::int64_t, std::set<VmId>> finished_vms;
@@ -525,11 +531,38 @@
     listing = false;
     next_list = ports.now() + kVmListInterval;
     if (!answer.complete) return;
+    if (!std::exchange(vms_fenced, true)) QueueFences(answer.vms);
     maintenance->SetVms(answer.vms, ports.now());
     lender->SetVms(answer.vms, ports.now());
   }));
 }
 
+// An order of an earlier owner may be carried out late. Ordering a VM to the pool where it is
+// changes nothing, but shows the platform the new token, so that it refuses older orders. Only for
+// VMs whose lasting tasks would be missed.
+void FleetOwner::Impl::QueueFences(const std::vector<VmReport>& vms) {
+  if (lease.token() <= Epoch(1)) return;
+  std::set<BackendId> serving;
+  for (const auto& it : dispatcher->Backends()) {
+    if (it.lasting_tasks > 0) serving.insert(it.id);
+  }
+  for (const VmReport& it : vms) {
+    if (it.state == VmState::kUp && serving.count(it.backend) > 0) {
+      fences.emplace_back(it.vm, it.pool);
+    }
+  }
+}
+
+void FleetOwner::Impl::SendFence() {
+  if (fences.empty()) return;
+  const auto [vm, pool] = fences.back();
+  fences.pop_back();
+  // Neither lent nor maintained meanwhile, or the order would move it back.
+  ports.vms->Move(vm, pool, lease.token(), Guard<VmOrderOutcome>([this](VmOrderOutcome outcome) {
+                    if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
+                  }));
+}
+
 // Removes the rows of jobs whose state need not be kept any longer.
 void FleetOwner::Impl::Clean() {
   const MonotonicTime now = ports.now();
@@ -647,6 +680,7 @@
       [this] { ResyncRegistry(); });
   if (may_order && ports.vms != nullptr) {
     ListVms();
+    SendFence();
     if (now >= next_lend) {
       next_lend = now + kLendInterval;
       const auto backends = dispatcher->Backends();
--- a/coordination/src/pool_lender.cc
+++ b/coordination/src/pool_lender.cc
@@ -9,6 +9,9 @@
 constexpr double kMillisPerCore = 1000;
 // A move without a sign of its end counts as failed after this time.
 constexpr Millis kMoveLost{6000};
+constexpr Millis kMoveRetry{200};
+// An order without an answer may be carried out this much later, so the VM is not moved on before.
+constexpr Millis kLateOrder{13'000};
 
 }  // namespace
 
@@ -43,7 +46,7 @@
     VmEntry entry;
     if (const auto known = vms_.find(it.vm); known != vms_.end()) entry = known->second;
     entry.report = it;
-    if (entry.target && !entry.order_open) {
+    if (entry.target && !entry.order_open && !entry.retry_at) {
       const bool arrived = it.state == VmState::kUp && it.pool == *entry.target;
       if (arrived || now - entry.ordered > kMoveLost) entry.target.reset();
     }
@@ -59,14 +62,21 @@
   entry.order_open = false;
   if (outcome == VmOrderOutcome::kDone) {
     if (!entry.backend.empty()) hooks_.ended(entry.backend);
+    entry.retry_at.reset();
     entry.report.state = VmState::kMoving;
     entry.report.pool = *entry.target;
     entry.backend = BackendId();
     return;
   }
-  if (outcome == VmOrderOutcome::kUnknown) return;
+  if (outcome == VmOrderOutcome::kUnknown) {
+    // Repeated until it is answered; a second one has no further effect.
+    entry.retry_at = now + kMoveRetry;
+    entry.held_until = now + kLateOrder;
+    return;
+  }
   if (outcome == VmOrderOutcome::kWrong) refused_[vm].push_back(*entry.target);
   entry.target.reset();
+  entry.retry_at.reset();
   entry.idle_since = now;
   if (!entry.backend.empty()) hooks_.evacuate(entry.backend, false);
 }
@@ -173,7 +183,7 @@
   VmEntry* idle = nullptr;
   for (auto& [vm, entry] : vms_) {
     if (entry.target || entry.report.state != VmState::kUp || entry.report.pool == pool) continue;
-    if (reserved(vm) || Refused(vm, pool)) continue;
+    if (reserved(vm) || Refused(vm, pool) || now < entry.held_until) continue;
     if (IsSpare(entry.report.pool)) return &entry;
     const PoolState& from = pools_[entry.report.pool];
     const bool surplus = from.present > from.wanted;
@@ -220,6 +230,7 @@
   for (auto& [vm, entry] : vms_) {
     if (entry.target || !entry.idle || entry.report.state != VmState::kUp) continue;
     if (IsSpare(entry.report.pool) || reserved(vm) || Refused(vm, *spare)) continue;
+    if (now < entry.held_until) continue;
     PoolState& pool = pools_[entry.report.pool];
     if (pool.present <= pool.kept || now - entry.idle_since < settings_.idle_before_off) continue;
     --pool.present;
@@ -233,6 +244,12 @@
   if (!config_ || !listed_) return;
   Observe(backends, now);
   Plan(loads, now);
+  for (auto& [vm, entry] : vms_) {
+    if (!entry.retry_at || now < *entry.retry_at || !entry.target) continue;
+    entry.retry_at.reset();
+    entry.order_open = true;
+    hooks_.move(vm, *entry.target);
+  }
   // The load of an owner that has just started is not measured yet.
   if (now - started_ < settings_.window) return;
   Raise(reserved, now);
--- a/coordination/tests/pool_lender_test.cc
+++ b/coordination/tests/pool_lender_test.cc
@@ -118,6 +118,29 @@
   for (std::size_t n = 1; n < moves.size(); ++n) CHECK(moves[n].first != moves[0].first);
 }
 
+// An unanswered move may come late, so it is repeated, and the VM is not moved on for a while.
+TEST(PoolLender, RepeatsAnUnansweredMoveAndHoldsTheVm) {
+  AddVms("a", 3, 0);
+  AddVms("b", 2, 0);
+  Play(0, 2000);
+  LONGS_EQUAL(1, moves.size());
+  lender.OnMove(moves[0].first, VmOrderOutcome::kUnknown, At(2000));
+  Play(2100, 2500);
+  LONGS_EQUAL(2, moves.size());
+  CHECK(moves[1] == moves[0]);
+  lender.OnMove(moves[0].first, VmOrderOutcome::kDone, At(2500));
+  loads[PoolId("a")].waiting_work = 40 * kServerSecond;
+  for (auto& it : vms) {
+    if (it.vm == moves[0].first) it = VmReport{it.vm, PoolId("off"), VmState::kUp, BackendId()};
+  }
+  lender.SetVms(vms, At(4000));
+  Play(4000, 10'000);
+  for (std::size_t n = 2; n < moves.size(); ++n) CHECK(moves[n].first != moves[0].first);
+  Play(15'100, 15'300);
+  CHECK(std::any_of(moves.begin() + 2, moves.end(),
+                    [&](const auto& it) { return it.first == moves[0].first; }));
+}
+
 TEST(PoolLender, LeavesVmsThatAreDueForMaintenance) {
   AddVms("a", 5, 0);
   AddVms("b", 2, 0);
