--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -177,28 +177,31 @@
 void Dispatcher::Impl::HandleFailed(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref,
                                     bool current) {
   JobEntry& job = *ref.job;
-  if (job.IsOpen() && !job.progress.IsDone(end.task)) {
-    TaskKey counted = end.task;
-    // A gang fails as a whole.
-    if (ref.spec->gang) counted.index = 0;
-    const int failures = job.progress.CountFailure(counted, end.run);
-    Touch(job);
-    backend.failed_jobs.insert(job.stored.id);
-    if (backend.failed_jobs.size() >= kBlameAfter) {
-      backend.blamed_until = now_ + kBlameTime;
-      backend.failed_jobs.clear();
-    }
-    ref.task->failed_at = backend.report.id;
-    const QueuePolicy* queue = QueueOf(job);
-    if (queue != nullptr && failures >= queue->attempts) {
-      EndJob(job, JobOutcome::kFailed,
-             end.task.str() + " failed " + std::to_string(failures) + " times");
-    }
-  }
   if (current) {
     Requeue(end.task, ref);
     ref.task->not_before = now_ + kFailedPause;
   }
+  if (!job.IsOpen() || job.progress.IsDone(end.task)) return;
+  TaskKey counted = end.task;
+  // A gang fails as a whole.
+  if (ref.spec->gang) counted.index = 0;
+  const int failures = job.progress.CountFailure(counted, end.run);
+  Touch(job);
+  Blame(backend, job.stored.id);
+  ref.task->failed_at = backend.report.id;
+  const QueuePolicy* queue = QueueOf(job);
+  if (queue != nullptr && failures >= queue->attempts) {
+    EndJob(job, JobOutcome::kFailed,
+           end.task.str() + " failed " + std::to_string(failures) + " times");
+  }
+}
+
+// Failed runs of different jobs in a row put the blame on the backend server.
+void Dispatcher::Impl::Blame(BackendEntry& backend, const JobId& job) {
+  backend.failed_jobs.insert(job);
+  if (backend.failed_jobs.size() < kBlameAfter) return;
+  backend.blamed_until = now_ + kBlameTime;
+  backend.failed_jobs.clear();
 }
 
 void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -202,6 +202,7 @@
   void HandleEnd(BackendEntry& backend, const ListedEnd& end);
   void HandleDone(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref, bool current);
   void HandleFailed(BackendEntry& backend, const ListedEnd& end, const TaskRef& ref, bool current);
+  void Blame(BackendEntry& backend, const JobId& job);
   void HandleRunning(BackendEntry& backend, const ListedRun& row);
   void SettleUnlisted(BackendEntry& backend, const std::set<TaskKey>& listed, MonotonicTime sent);
   void LoseRuns(BackendEntry& backend, const std::string& why);
