--- /dev/null
+++ b/coordination/src/dispatcher_orders.cc
@@ -0,0 +1,203 @@
+#include <algorithm>
+
+#include "dispatcher_state.h"
+
+namespace sapphirewheel {
+namespace {
+
+// A task without progress for this time, or for half of its estimate, stands still.
+constexpr Millis kStuckAfter{2500};
+// Fillers are slowed when the tail of a serving task passes the first share of its target, and
+// released below the second.
+constexpr double kSlowAbove = 0.75;
+constexpr double kReleaseBelow = 0.45;
+
+}  // namespace
+
+bool Dispatcher::Impl::Trusted(const BackendEntry& backend) const {
+  return !backend.failing ||
+         now_ - backend.last_answer < settings.suspect_after + settings.look_wait;
+}
+
+bool Dispatcher::Impl::InRoster(const BackendEntry& backend) const {
+  const auto it = roster_written.find(backend.report.id);
+  return it != roster_written.end() && !it->second.over_by;
+}
+
+void Dispatcher::Impl::SendLook(BackendEntry& backend) {
+  LookOrder order;
+  order.backend = backend.report.id;
+  order.address = backend.report.address;
+  order.token = settings.token;
+  order.acknowledged_end = backend.ends_acknowledged;
+  backend.ends_sent = backend.ends_acknowledged;
+  // A server that left the registry or does not answer may be over by the roster's word, so its
+  // lease has to end.
+  const bool extend = backend.registered && Trusted(backend) && InRoster(backend);
+  if (extend && backend.HasRuns() && backend.clock) {
+    order.lease_until = LeaseFor(backend);
+    ExtendLease(backend);
+  }
+  if (backend.HasRuns() && backend.listed && !backend.failing) order.wait = settings.look_wait;
+  backend.look_in_flight = true;
+  hooks.look(order);
+}
+
+void Dispatcher::Impl::SendLooks() {
+  for (auto& [id, backend] : backends) {
+    BackendEntry& it = *backend;
+    if (it.look_in_flight || now_ < it.next_look) continue;
+    if (!it.registered && !it.HasRuns() && it.ends_sent >= it.ends_acknowledged) continue;
+    const bool due =
+        it.HasRuns() || !it.listed || it.failing || it.ends_acknowledged > it.ends_sent;
+    if (due) SendLook(it);
+  }
+}
+
+void Dispatcher::Impl::SendStart(const TaskKey& key, const TaskRef& ref) {
+  TaskState& task = *ref.task;
+  task.order_in_flight = true;
+  unsettled.insert(task.backend->report.id);
+  ExtendLease(*task.backend);
+  StartOrder order{task.backend->report.id,
+                   task.backend->report.address,
+                   settings.token,
+                   key,
+                   task.run,
+                   ref.job->stored.spec.payload,
+                   task.checkpoint,
+                   task.lease_until,
+                   ""};
+  const auto advice = ref.step->advice.find(order.backend);
+  if (advice != ref.step->advice.end()) order.ticket = advice->second.ticket;
+  hooks.start(order);
+}
+
+// Repeats starts and stops without an answer.
+bool Dispatcher::Impl::SendRetries(BackendEntry& backend) {
+  bool open = !backend.strays.empty();
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) {
+    const TaskRef ref = Find(key);
+    TaskState& task = *ref.task;
+    const bool starting = task.phase == TaskPhase::kStarting;
+    const bool stopping = task.phase == TaskPhase::kStopping && !task.stop_confirmed;
+    open = open || starting || stopping;
+    if (task.order_in_flight || now_ < task.retry_at) continue;
+    if (starting) {
+      // Only after a look: another life would take the lease for one on its own clock.
+      if (backend.failing || !backend.listed || !backend.clock) continue;
+      task.lease_until = LeaseFor(backend);
+      SendStart(key, ref);
+    } else if (stopping) {
+      task.order_in_flight = true;
+      hooks.stop(
+          StopOrder{backend.report.id, backend.report.address, settings.token, key, task.run});
+    }
+  }
+  for (auto& [run, stray] : backend.strays) {
+    if (stray.order_in_flight || now_ < stray.retry_at) continue;
+    stray.order_in_flight = true;
+    hooks.stop(StopOrder{backend.report.id, backend.report.address, settings.token, run.first,
+                         run.second});
+  }
+  return open;
+}
+
+void Dispatcher::Impl::ExpireLeases() {
+  std::erase_if(backends, [&](const auto& row) {
+    BackendEntry& backend = *row.second;
+    if (backend.HasRuns() && now_ > backend.lease_end) {
+      LoseRuns(backend, "its lease has ended");
+      // Its list shows the ends, which have to be acknowledged.
+      backend.listed = false;
+    }
+    const bool forget = !backend.registered && !backend.HasRuns() && !backend.look_in_flight &&
+                        backend.unacknowledged.empty() &&
+                        (backend.ends_sent >= backend.ends_acknowledged || backend.failing);
+    if (forget) {
+      pool_index_valid = false;
+      unsettled.erase(backend.report.id);
+    }
+    return forget;
+  });
+  const auto over =
+      std::erase_if(roster_pending, [&](const auto& row) { return now_ > *row.second.over_by; });
+  if (over > 0) place_due = true;
+}
+
+void Dispatcher::Impl::StopStuckTasks(BackendEntry& backend) {
+  if (backend.failing) return;
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) {
+    const TaskRef ref = Find(key);
+    const TaskState& task = *ref.task;
+    if (task.phase != TaskPhase::kRunning || ref.spec->lasting || ref.spec->gang ||
+        ref.spec->fills) {
+      continue;
+    }
+    const Millis quiet = now_ - std::max(task.advanced, task.confirmed);
+    if (quiet <= std::max(kStuckAfter, ref.spec->estimate / 2)) continue;
+    ref.task->failed_at = backend.report.id;
+    backend.blamed_until = now_ + kBlameTime;
+    BeginStop(key, ref);
+  }
+}
+
+// Whether a task serves for all that is known: its backend server has answered lately.
+bool Dispatcher::Impl::AtWork(const TaskState& task) const {
+  if (task.phase != TaskPhase::kRunning || task.percent < kFull) return false;
+  return !task.backend->failing &&
+         now_ - task.backend->last_answer < settings.look_wait + settings.suspect_after;
+}
+
+bool Dispatcher::Impl::BudgetAllowsStop(const TaskRef& ref) const {
+  const auto away =
+      std::count_if(ref.step->tasks.begin(), ref.step->tasks.end(),
+                    [&](const TaskState& it) { return &it != ref.task && !AtWork(it); });
+  return away < ref.spec->unavailable_budget.value_or(1);
+}
+
+// Moves lasting tasks away from a backend server that leaves or is due for maintenance.
+void Dispatcher::Impl::Evacuate(BackendEntry& backend) {
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) {
+    const TaskRef ref = Find(key);
+    if (!ref.spec->lasting || ref.task->phase != TaskPhase::kRunning || !ref.job->IsOpen()) {
+      continue;
+    }
+    const QueuePolicy* queue = QueueOf(*ref.job);
+    if (queue == nullptr) continue;
+    const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
+    if (allowed && Pick(*queue, *ref.spec, *ref.step, *ref.task, {}) != nullptr) {
+      BeginStop(key, ref);
+    }
+  }
+}
+
+// Slows the fillers beside a serving task whose tail nears its target.
+void Dispatcher::Impl::PaceFillers(BackendEntry& backend) {
+  if (backend.serving_tasks == 0 || backend.filling_tasks == 0 || !hooks.pace) return;
+  double worst = 0;
+  for (const TaskKey& key : backend.tasks) {
+    const TaskRef ref = Find(key);
+    const auto target = ref.spec->latency_target.count();
+    if (target > 0) {
+      worst = std::max(worst, static_cast<double>(ref.task->load) / static_cast<double>(target));
+    }
+  }
+  for (const TaskKey& key : backend.tasks) {
+    const TaskRef ref = Find(key);
+    TaskState& task = *ref.task;
+    if (!ref.spec->fills || task.phase != TaskPhase::kRunning) continue;
+    int pace = task.pace;
+    if (worst > kSlowAbove) pace = 0;
+    if (worst < kReleaseBelow) pace = kFull;
+    if (pace == task.pace) continue;
+    task.pace = pace;
+    hooks.pace(
+        PaceOrder{backend.report.id, backend.report.address, settings.token, key, task.run, pace});
+  }
+}
+
+}  // namespace sapphirewheel
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -19,6 +19,11 @@
 constexpr Millis kLeaseSlack{400};
 // Each owner numbers its runs above those of earlier owners.
 constexpr std::int64_t kRunsPerOwner = 1000;
+// A backend server that is to blame gets work only where no other has room.
+constexpr Millis kBlameTime{5000};
+// Percent of a task that works at full speed, or of a lasting one that is at work.
+constexpr int kFull = 100;
+// Pauses before an order without an answer is repeated, short against the timeout of an order.
 constexpr Millis kStartRetry{250};
 constexpr Millis kStopRetry{300};
 constexpr Millis kLookRetry{300};
@@ -210,6 +215,8 @@
   void Replaced(BackendEntry& backend);
   void Answered(BackendEntry& backend, const std::optional<BackendClock>& clock);
   void Failed(BackendEntry& backend);
+
+  // dispatcher_orders.cc
   [[nodiscard]] BackendClock LeaseFor(const BackendEntry& backend) const;
   void ExtendLease(BackendEntry& backend);
   void NoteLease(BackendEntry& backend, BackendClock until,
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -10,10 +10,13 @@
 namespace sapphirewheel {
 namespace {
 
+// Longest wait for an answer of the table service; above its time when it is 80 times slower.
 constexpr Millis kStoreTimeout{1300};
 // Bounds the age of the configuration between two answers of the feed.
 constexpr Millis kConfigWait{800};
+// Longest wait of the feed of the owner row, which changes with each renewal.
 constexpr Millis kOwnerWait{1200};
+// Pause after an answer that did not come.
 constexpr Millis kRetry{100};
 // Added to a feed's wait before its answer counts as lost.
 constexpr Millis kFeedSlack{700};
@@ -21,6 +24,7 @@
 constexpr Millis kReplyReserve{150};
 // Attempts at a store that surely did nothing, before the caller is sent to another node.
 constexpr int kRefusedAttempts = 2;
+// What refused callers are told to wait; the balancer has left a node out by then.
 constexpr Millis kRetryAfter{1000};
 // How long a count of waiting jobs that was read is used again.
 constexpr Millis kWaitingReuse{400};
--- /dev/null
+++ b/coordination/src/fleet_owner_load.cc
@@ -0,0 +1,253 @@
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "fleet_owner_state.h"
+#include "sapphirewheel/coordination/stored_job.h"
+#include "sapphirewheel/state/json.h"
+
+namespace sapphirewheel {
+namespace {
+
+constexpr Millis kFollowWait{1900};
+
+}  // namespace
+
+// Reads what is stored: first the rows whose revision is the start of the feeds, then the rest in
+// parallel, as each answer of a slow store takes its time.
+void FleetOwner::Impl::Load() {
+  loading = true;
+  ports.store.Read(rows::kOwned, rows::kOwnerPart, "", "", kStoreTimeout,
+                   OnRows([this](const RowsAnswer& answer) {
+                     if (answer.outcome != StoreOutcome::kDone) {
+                       loading = false;
+                       retry_load = ports.now() + kRetry;
+                       return;
+                     }
+                     jobs_feed.after = answer.newest;
+                     registry_feed.after = answer.newest;
+                     store_now = answer.now;
+                     store_read = ports.now();
+                     for (const StoredRow& row : answer.rows) TakeOwned(row);
+                     LoadTables();
+                   }));
+}
+
+void FleetOwner::Impl::LoadTables() {
+  const auto gather = std::make_shared<Gather>(Guard([this] { StartRunning(); }));
+  ReadPart(rows::kProgress, rows::kOwnerPart, "", gather, [this](const StoredRow& row) {
+    auto progress = JobProgress::Decode(row.value);
+    if (progress) {
+      loaded_progress[JobId(row.at.key)] = std::move(progress.value());
+    } else {
+      Note(NodeEvent::kJobUnreadable, row.at.key + ": " + progress.error().message);
+    }
+  });
+  ReadPart(ports.reader.RegistryTable(), "", "", gather,
+           [this](const StoredRow& row) { loaded_backends.push_back(row); });
+  ReadJobs("", gather, [this](const StoredRow& row) { loaded_jobs.push_back(row); });
+}
+
+// Times in the row are on the store's clock, which all owners share.
+std::string FleetOwner::Impl::EncodeRoster(const Roster& entries) const {
+  boost::json::object row;
+  for (const auto& [id, entry] : entries) {
+    boost::json::array value{entry.pool.str()};
+    if (entry.over_by && store_now.count() > 0) {
+      value.emplace_back(store_now.count() + (*entry.over_by - store_read).count());
+    }
+    row[id.str()] = std::move(value);
+  }
+  return boost::json::serialize(row);
+}
+
+Roster FleetOwner::Impl::DecodeRoster(const std::string& text) const {
+  Roster entries;
+  const auto object = ParseObject(text);
+  if (!object) return entries;
+  for (const auto& [id, value] : object.value()) {
+    if (!value.is_array() || value.get_array().empty()) continue;
+    const boost::json::array& fields = value.get_array();
+    if (!fields[0].is_string()) continue;
+    RosterEntry entry{PoolId(std::string(fields[0].get_string())), std::nullopt};
+    if (fields.size() > 1 && fields[1].is_int64()) {
+      entry.over_by = store_read + Millis(fields[1].get_int64() - store_now.count());
+    }
+    entries[BackendId(std::string(id))] = entry;
+  }
+  return entries;
+}
+
+void FleetOwner::Impl::TakeOwned(const StoredRow& row) {
+  const std::string& key = row.at.key;
+  const std::string wave_prefix = rows::kWavePrefix;
+  if (key == rows::kRoster) {
+    roster = DecodeRoster(row.value);
+  } else if (key.rfind(wave_prefix, 0) == 0) {
+    const auto number = std::atoll(key.c_str() + wave_prefix.size());
+    finished_vms[number] = MaintenanceRunner::DecodeFinished(row.value);
+  }
+}
+
+// Reads all rows of a part, page by page, each again until it is answered.
+void FleetOwner::Impl::ReadPart(const std::string& table, const std::string& part,
+                                const std::string& from, const GatherRef& gather,
+                                const TakeRow& take) {
+  ports.store.Read(table, part, from, "", kStoreTimeout,
+                   OnRows([this, table, part, from, gather, take](const RowsAnswer& answer) {
+                     if (answer.outcome != StoreOutcome::kDone) {
+                       Later(kRetry, [this, table, part, from, gather, take] {
+                         ReadPart(table, part, from, gather, take);
+                       });
+                       return;
+                     }
+                     for (const StoredRow& row : answer.rows) take(row);
+                     if (answer.more && !answer.rows.empty()) {
+                       // The smallest key above the last one.
+                       ReadPart(table, part, answer.rows.back().at.key + '\0', gather, take);
+                     }
+                   }));
+}
+
+void FleetOwner::Impl::ReadJobs(const std::string& after, const GatherRef& gather,
+                                const TakeRow& take) {
+  constexpr std::size_t kPartsPerPage = 1000;
+  ports.store.ListParts(
+      rows::kJobs, after, kStoreTimeout,
+      Guard<const PartsAnswer&>([this, after, gather, take](const PartsAnswer& answer) {
+        if (answer.outcome != StoreOutcome::kDone) {
+          Later(kRetry, [this, after, gather, take] { ReadJobs(after, gather, take); });
+          return;
+        }
+        for (const std::string& part : answer.parts) ReadPart(rows::kJobs, part, "", gather, take);
+        if (answer.parts.size() >= kPartsPerPage) ReadJobs(answer.parts.back(), gather, take);
+      }));
+}
+
+void FleetOwner::Impl::Later(Millis delay, std::function<void()> task) {
+  later.emplace_back(ports.now() + delay, std::move(task));
+}
+
+void FleetOwner::Impl::RunLater(MonotonicTime now) {
+  std::vector<std::function<void()>> due;
+  std::erase_if(later, [&](auto& it) {
+    if (it.first > now) return false;
+    due.push_back(std::move(it.second));
+    return true;
+  });
+  for (const auto& task : due) task();
+}
+
+void FleetOwner::Impl::StartRunning() {
+  loading = false;
+  if (running) return;
+  const MonotonicTime now = ports.now();
+  Dispatcher::Settings dispatcher_settings = settings.dispatcher;
+  dispatcher_settings.token = lease.token();
+  dispatcher = std::make_unique<Dispatcher>(dispatcher_settings, DispatcherHooks(), now);
+  dispatcher->SetRoster(roster, taken_at);
+  if (config) dispatcher->SetConfig(config);
+  for (const StoredRow& row : loaded_backends) TakeBackend(row);
+  for (const StoredRow& row : loaded_jobs) TakeJob(row, true);
+  Note(NodeEvent::kLoaded, "jobs=" + std::to_string(loaded_jobs.size()) +
+                               " backends=" + std::to_string(loaded_backends.size()) +
+                               " roster=" + std::to_string(roster.size()));
+  loaded_jobs.clear();
+  loaded_backends.clear();
+  maintenance = std::make_unique<MaintenanceRunner>(MaintenanceHooks(), settings.maintenance_time);
+  lender = std::make_unique<PoolLender>(settings.lender, LenderHooks());
+  if (config) lender->SetConfig(config);
+  running = true;
+  for (const auto& [number, wave] : waves) maintenance->AddWave(wave, finished_vms[number]);
+}
+
+void FleetOwner::Impl::TakeJob(const StoredRow& row, bool inherited) {
+  const JobId id(row.at.key);
+  if (row.removed) return;
+  auto job = DecodeStoredJob(id, row.value);
+  if (!job) {
+    Note(NodeEvent::kJobUnreadable, id.str() + ": " + job.error().message);
+    return;
+  }
+  std::optional<JobProgress> progress;
+  if (const auto it = loaded_progress.find(id); it != loaded_progress.end()) progress = it->second;
+  dispatcher->AddJob(std::move(job.value()), progress, inherited, ports.now());
+}
+
+void FleetOwner::Impl::TakeBackend(const StoredRow& row) {
+  const BackendId id(row.at.key);
+  const auto report = ports.reader.Backend(row);
+  if (report) {
+    dispatcher->UpsertBackend(*report, ports.now());
+  } else {
+    dispatcher->RemoveBackend(id, ports.now());
+  }
+}
+
+void FleetOwner::Impl::Poll(Feed& feed, const std::function<void(const StoredRow&)>& take,
+                            const std::function<void()>& resync) {
+  if (feed.in_flight || ports.now() < feed.next) return;
+  feed.in_flight = true;
+  ports.store.Follow(feed.table, feed.after, kFollowWait, kFollowWait + kStoreTimeout,
+                     OnRows([this, &feed, take, resync](const RowsAnswer& answer) {
+                       feed.in_flight = false;
+                       feed.next = ports.now() + feed.pause;
+                       if (answer.outcome == StoreOutcome::kHistoryGone) {
+                         resync();
+                         return;
+                       }
+                       if (answer.outcome != StoreOutcome::kDone) {
+                         feed.next = ports.now() + kRetry;
+                         return;
+                       }
+                       for (const StoredRow& row : answer.rows) take(row);
+                       feed.after = std::max(feed.after, answer.newest);
+                     }));
+}
+
+// Reads a table again whose feed has lost its history; the feed goes on from before the read.
+void FleetOwner::Impl::Resync(Feed& feed, const std::function<void(const GatherRef&)>& read,
+                              const std::function<void()>& done) {
+  feed.in_flight = true;
+  ports.store.Read(rows::kOwned, rows::kOwnerPart, rows::kRoster, "", kStoreTimeout,
+                   OnRows([this, &feed, read, done](const RowsAnswer& answer) {
+                     if (answer.outcome != StoreOutcome::kDone) {
+                       Later(kRetry, [this, &feed, read, done] { Resync(feed, read, done); });
+                       return;
+                     }
+                     const Revision start = answer.newest;
+                     read(std::make_shared<Gather>(Guard([&feed, done, start] {
+                       if (done) done();
+                       feed.after = std::max(feed.after, start);
+                       feed.in_flight = false;
+                     })));
+                   }));
+}
+
+void FleetOwner::Impl::ResyncJobs() {
+  Resync(
+      jobs_feed,
+      [this](const GatherRef& gather) {
+        ReadJobs("", gather, [this](const StoredRow& row) { TakeJob(row, false); });
+      },
+      nullptr);
+}
+
+void FleetOwner::Impl::ResyncRegistry() {
+  const auto seen = std::make_shared<std::set<BackendId>>();
+  Resync(
+      registry_feed,
+      [this, seen](const GatherRef& gather) {
+        seen->clear();
+        ReadPart(ports.reader.RegistryTable(), "", "", gather, [this, seen](const StoredRow& row) {
+          seen->insert(BackendId(row.at.key));
+          TakeBackend(row);
+        });
+      },
+      [this, seen] {
+        for (const auto& it : dispatcher->Backends()) {
+          if (seen->count(it.id) == 0) dispatcher->RemoveBackend(it.id, ports.now());
+        }
+      });
+}
+
+}  // namespace sapphirewheel
--- /dev/null
+++ b/coordination/src/fleet_owner_state.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphirewheel/coordination/fleet_owner.h"
+
+namespace sapphirewheel {
+
+// Longest wait for an answer of the table service; above its time when it is 80 times slower.
+inline constexpr Millis kStoreTimeout{1300};
+// Pause after an answer that did not come.
+inline constexpr Millis kRetry{100};
+// Pauses between two reads of a change feed, so that one read carries several changes.
+inline constexpr Millis kJobsPause{25};
+
+// Follows one table of the change feed; asks again at once, after a pause, or after a failure.
+struct Feed {
+  std::string table;
+  Revision after;
+  Millis pause{0};
+  MonotonicTime next;
+  bool in_flight = false;
+};
+
+// Runs a task when the last of several reads has let go of it.
+class Gather {
+ public:
+  explicit Gather(std::function<void()> done) : done_(std::move(done)) {}
+  ~Gather() { done_(); }
+  Gather(const Gather&) = delete;
+  Gather& operator=(const Gather&) = delete;
+
+ private:
+  std::function<void()> done_;
+};
+using GatherRef = std::shared_ptr<Gather>;
+using TakeRow = std::function<void(const StoredRow&)>;
+
+struct FleetOwner::Impl : std::enable_shared_from_this<FleetOwner::Impl> {
+  Impl(Settings given, FleetPorts given_ports, FleetLease& given_lease)
+      : settings(given), ports(std::move(given_ports)), lease(given_lease), taken_at(ports.now()) {}
+
+  void Load();
+  void LoadTables();
+  void ReadPart(const std::string& table, const std::string& part, const std::string& from,
+                const GatherRef& gather, const TakeRow& take);
+  void ReadJobs(const std::string& after, const GatherRef& gather, const TakeRow& take);
+  void Later(Millis delay, std::function<void()> task);
+  void RunLater(MonotonicTime now);
+  void Resync(Feed& feed, const std::function<void(const GatherRef&)>& read,
+              const std::function<void()>& done);
+  void TakeOwned(const StoredRow& row);
+  [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
+  [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
+  void StartRunning();
+  void TakeJob(const StoredRow& row, bool inherited);
+  void TakeBackend(const StoredRow& row);
+  void Poll(Feed& feed, const std::function<void(const StoredRow&)>& take,
+            const std::function<void()>& resync);
+  void ResyncJobs();
+  void ResyncRegistry();
+  void Commit();
+  void Committed(const RowsAnswer& answer, bool renewed, bool released, MonotonicTime sent);
+  void WriteWaveStatus();
+  void ListVms();
+  void QueueFences(const std::vector<VmReport>& vms);
+  void SendFence();
+  void Clean();
+  void Tick(MonotonicTime now);
+  void Note(NodeEvent event, const std::string& detail) const {
+    if (ports.note) ports.note(event, detail);
+  }
+  Dispatcher::Hooks DispatcherHooks();
+  MaintenanceRunner::Hooks MaintenanceHooks();
+  PoolLender::Hooks LenderHooks();
+
+  // Wraps a callback so that it is dropped when the owner is gone.
+  template <typename... Args, typename F>
+  [[nodiscard]] std::function<void(Args...)> Guard(F task) {
+    return [weak = this->weak_from_this(), task = std::move(task)](Args... args) {
+      if (const auto self = weak.lock()) task(args...);
+    };
+  }
+  std::function<void(const RowsAnswer&)> OnRows(std::function<void(const RowsAnswer&)> task) {
+    return Guard<const RowsAnswer&>(std::move(task));
+  }
+
+  const Settings settings;
+  const FleetPorts ports;
+  FleetLease& lease;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<MaintenanceRunner> maintenance;
+  std::unique_ptr<PoolLender> lender;
+  MonotonicTime next_lend;
+  bool vms_fenced = false;
+  // VMs that the platform has to be shown this owner's token for.
+  std::vector<std::pair<VmId, PoolId>> fences;
+  std::shared_ptr<const DispatchConfig> config;
+  std::map<std::int64_t, WaveOrder> waves;
+  std::map<std::int64_t, std::set<VmId>> finished_vms;
+  std::set<std::int64_t> known_waves;
+
+  const MonotonicTime taken_at;
+  bool loading = false;
+  bool running = false;
+  bool releasing = false;
+  MonotonicTime retry_load;
+  std::vector<StoredRow> loaded_jobs;
+  std::map<JobId, JobProgress> loaded_progress;
+  std::vector<StoredRow> loaded_backends;
+  Roster roster;
+  Feed jobs_feed{rows::kJobs, Revision(), kJobsPause, {}, false};
+  Feed registry_feed;
+  std::vector<std::pair<MonotonicTime, std::function<void()>>> later;
+
+  bool committing = false;
+  // The last write may still be carried out.
+  bool uncertain = false;
+  // Time that a write took lately.
+  Millis commit_time{20};
+  MonotonicTime next_commit;
+  std::map<QueueId, int> waiting_written;
+  std::map<std::int64_t, std::string> wave_rows;
+  std::map<std::int64_t, bool> status_writes;
+  bool status_in_flight = false;
+  StoreClock store_now;
+  MonotonicTime store_read;
+  MonotonicTime next_list;
+  bool listing = false;
+  MonotonicTime next_clean;
+  std::vector<JobId> cleaned;
+};
+
+}  // namespace sapphirewheel
--- /dev/null
+++ b/coordination/src/fleet_owner_write.cc
@@ -0,0 +1,156 @@
+#include <algorithm>
+
+#include "fleet_owner_state.h"
+
+namespace sapphirewheel {
+namespace {
+
+// A write counts as lost after this many times the usual time, so that a renewal is repeated within
+// the lease.
+constexpr int kPatience = 4;
+// Below this a write is not given up, however fast the store was.
+constexpr Millis kLeastCommitTimeout{400};
+// Least time between two writes of progress, so that one write carries several ends.
+constexpr Millis kCommitInterval{60};
+// Entries of one transaction, below the table service's bound of 100.
+constexpr std::size_t kMaxWrites = 80;
+// Old rows are removed one batch at a time.
+constexpr Millis kCleanInterval{500};
+
+}  // namespace
+
+void FleetOwner::Impl::Commit() {
+  const MonotonicTime now = ports.now();
+  if (committing || !lease.owner() || now < next_commit) return;
+  // A write without an answer may be carried out later and undo newer progress; another revision of
+  // the owner row prevents that.
+  const bool renew = lease.RenewalDue(now) || uncertain;
+  const bool work = running && dispatcher->HasWrites();
+  auto new_roster = running ? dispatcher->RosterToWrite() : std::nullopt;
+  const bool release = releasing && !work;
+  if (!renew && !work && !new_roster && wave_rows.empty() && !release) return;
+  RowTransaction tx;
+  tx.expected.emplace_back(rows::Owner(), lease.revision());
+  if (release) {
+    tx.writes.emplace_back(rows::Owner(), lease.Release().row.Encode());
+  } else if (renew) {
+    tx.writes.emplace_back(rows::Owner(), lease.Renewal().row.Encode());
+  }
+  if (running) {
+    for (const ProgressWrite& it : dispatcher->TakeWrites(kMaxWrites)) {
+      tx.writes.emplace_back(rows::Progress(it.job), it.value);
+    }
+    if (new_roster) {
+      tx.writes.emplace_back(rows::Owned(rows::kRoster), EncodeRoster(*new_roster));
+    }
+    if (renew && !release) {
+      const Millis passed = now - store_read;
+      const WaitingCounts counts{StoreClock(store_now.count() + passed.count()),
+                                 dispatcher->Waiting()};
+      if (store_now.count() > 0) {
+        tx.writes.emplace_back(rows::Owned(rows::kWaiting), counts.Encode());
+      }
+    }
+  }
+  for (const auto& [number, value] : wave_rows) {
+    tx.writes.emplace_back(rows::Owned(rows::kWavePrefix + std::to_string(number)), value);
+  }
+  const auto waves_sent = wave_rows;
+  committing = true;
+  const Millis timeout = std::clamp(kPatience * commit_time, kLeastCommitTimeout, kStoreTimeout);
+  ports.store.Commit(
+      tx, timeout,
+      OnRows([this, renew, release, new_roster, waves_sent, now](const RowsAnswer& answer) {
+        if (answer.outcome == StoreOutcome::kDone) {
+          if (new_roster) dispatcher->RosterWritten(*new_roster);
+          for (const auto& [number, value] : waves_sent) {
+            if (wave_rows[number] == value) wave_rows.erase(number);
+          }
+        }
+        Committed(answer, renew, release, now);
+      }));
+}
+
+void FleetOwner::Impl::Committed(const RowsAnswer& answer, bool renewed, bool released,
+                                 MonotonicTime sent) {
+  committing = false;
+  const bool done = answer.outcome == StoreOutcome::kDone;
+  if (answer.outcome == StoreOutcome::kUnknown) uncertain = true;
+  if (done && renewed) uncertain = false;
+  if (dispatcher) dispatcher->WritesDone(done);
+  next_commit = ports.now() + (done ? kCommitInterval : kRetry);
+  // An answer that did not come makes the next wait longer, so that a slow store is waited for.
+  const Millis took = ports.now() - sent;
+  commit_time = done ? std::max(took, (commit_time + took) / 2) : std::max(commit_time, took);
+  if (done) {
+    store_now = answer.now;
+    store_read = ports.now();
+    if (released) {
+      lease.Won(lease.Release().row, answer.newest, sent);
+    } else if (renewed) {
+      lease.Won(*lease.row(), answer.newest, sent);
+    }
+    return;
+  }
+  if (answer.outcome != StoreOutcome::kConflict) return;
+  for (const StoredRow& row : answer.rows) {
+    if (row.at != rows::Owner()) continue;
+    const auto owner = OwnerRow::Decode(row.value);
+    const bool ours = owner && owner.value().holder == lease.row()->holder &&
+                      owner.value().token == lease.token() && !owner.value().released;
+    if (ours) {
+      // An earlier renewal without an answer was carried out.
+      lease.Observe(owner.value(), row.revision, ports.now());
+      next_commit = ports.now();
+      return;
+    }
+  }
+  Note(NodeEvent::kOwnershipLost, "another node holds the owner row");
+  lease.StepDown();
+}
+
+void FleetOwner::Impl::WriteWaveStatus() {
+  if (status_in_flight || status_writes.empty()) return;
+  const auto [number, completed] = *status_writes.begin();
+  RowTransaction tx;
+  tx.writes.push_back(ports.reader.WaveStatus(number, completed));
+  status_in_flight = true;
+  ports.store.Commit(tx, kStoreTimeout,
+                     OnRows([this, number = number, completed = completed](const RowsAnswer& it) {
+                       status_in_flight = false;
+                       const bool same =
+                           status_writes.count(number) > 0 && status_writes[number] == completed;
+                       if (it.outcome == StoreOutcome::kDone && same) status_writes.erase(number);
+                     }));
+}
+
+// Removes the rows of jobs whose state need not be kept any longer.
+void FleetOwner::Impl::Clean() {
+  const MonotonicTime now = ports.now();
+  if (now < next_clean) return;
+  next_clean = now + kCleanInterval;
+  const auto expired = dispatcher->Expired(settings.state_kept, now);
+  if (expired.empty()) return;
+  const std::string part = rows::JobPart(expired.front());
+  std::vector<JobId> batch;
+  RowTransaction jobs;
+  RowTransaction progress;
+  progress.expected.emplace_back(rows::Owner(), lease.revision());
+  for (const JobId& id : expired) {
+    if (rows::JobPart(id) != part || batch.size() >= kMaxWrites) continue;
+    batch.push_back(id);
+    jobs.removes.push_back(rows::Job(id));
+    progress.removes.push_back(rows::Progress(id));
+  }
+  next_clean = now + kStoreTimeout;
+  // The job first: a job without progress would be run again.
+  ports.store.Commit(jobs, kStoreTimeout, OnRows([this, batch, progress](const RowsAnswer& it) {
+                       if (it.outcome != StoreOutcome::kDone) return;
+                       ports.store.Commit(progress, kStoreTimeout,
+                                          OnRows([](const RowsAnswer&) {}));
+                       for (const JobId& id : batch) dispatcher->Forget(id);
+                       next_clean = ports.now() + kCleanInterval;
+                     }));
+}
+
+}  // namespace sapphirewheel
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -8,6 +8,7 @@
 namespace sapphirewheel {
 namespace {
 
+// Pause before an order that was refused or not answered is repeated.
 constexpr Millis kOrderRetry{400};
 // A list of VMs may show what was true this long ago.
 constexpr Millis kListAge{1000};
--- a/coordination/src/pool_lender.cc
+++ b/coordination/src/pool_lender.cc
@@ -9,6 +9,7 @@
 constexpr double kMillisPerCore = 1000;
 // A move without a sign of its end counts as failed after this time.
 constexpr Millis kMoveLost{6000};
+// Pause before an unanswered move is repeated.
 constexpr Millis kMoveRetry{200};
 // An order without an answer may be carried out this much later, so the VM is not moved on before.
 constexpr Millis kLateOrder{13'000};
--- /dev/null
+++ b/coordination/tests/fleet_sim_callers.cc
@@ -0,0 +1,149 @@
+#include <cstdio>
+
+#include "fleet_sim_ports.h"
+
+namespace sapphirewheel::testing {
+
+void FleetSim::CallNode(const std::string& path, CallKind kind, const std::string& body,
+                        std::function<void(const CallerReply&)> answer) {
+  const int n = Draw(static_cast<int>(nodes.size()));
+  Node& node = nodes[n];
+  const int life = node.life;
+  auto answered = std::make_shared<bool>(false);
+  const auto once = [answered, answer](const CallerReply& reply) {
+    if (*answered) return;
+    *answered = true;
+    answer(reply);
+  };
+  constexpr std::int64_t kTimeout = 3000;
+  At(now_ + kTimeout, [once] {
+    CallerReply silent;
+    silent.error.kind = ErrorKind::kOutcomeUnknown;
+    once(silent);
+  });
+  if (!node.alive || node.frozen) return;
+  CallerCall call;
+  call.kind = kind;
+  call.host = "host";
+  call.path = path;
+  call.body = body;
+  node.entry->Handle(call, [this, n, life, once](const CallerReply& reply) {
+    // The answer of a process that has died does not leave it.
+    if (nodes[n].alive && nodes[n].life == life) once(reply);
+  });
+}
+
+void FleetSim::SubmitRandomJob() {
+  const int pool = Draw(settings_.pools);
+  char id[17];
+  std::snprintf(id, sizeof id, "%016llx",
+                static_cast<unsigned long long>(next_job_++ * 0x9e3779b97f4a7c15ULL));
+  ClientJob& job = jobs[JobId(id)];
+  job.id = JobId(id);
+  job.queue = config.queues[pool].id;
+  job.sent_at = now_;
+  job.spec.payload = "payload-" + std::to_string(Draw(1000));
+  job.hopeless = Draw() < 0.03;
+  const int steps = 1 + Draw(3);
+  for (int n = 0; n < steps; ++n) {
+    StepSpec step;
+    step.count = 1 + Draw(6);
+    step.each = {500 + Draw(2500), 500 + Draw(2000), 0};
+    step.estimate = Millis(200 + Draw(1500));
+    if (n > 0) step.after = {n - 1};
+    job.spec.steps.push_back(step);
+  }
+  if (Draw() < 0.1) {
+    job.hopeless = false;
+    job.spec.steps.resize(1);
+    job.spec.steps[0].lasting = true;
+    job.spec.steps[0].each.cpu_millis = 300;
+    job.spec.steps[0].count = 2;
+  }
+  StoredJob stored;
+  stored.queue = job.queue;
+  stored.spec = job.spec;
+  const std::string body = EncodeStoredJob(stored);
+  const std::string path = config.queues[pool].path_prefix + job.id.str();
+  constexpr int kRetries = 6;
+  Submit(job.id, path, body, kRetries);
+}
+
+void FleetSim::Submit(const JobId& id, const std::string& path, const std::string& body,
+                      int retries) {
+  CallNode(
+      path, CallKind::kSubmit, body, [this, id, path, body, retries](const CallerReply& reply) {
+        ClientJob& it = jobs.at(id);
+        if (reply.kind == CallerReply::Kind::kAccepted) {
+          if (!it.accepted) it.accepted_at = now_;
+          it.accepted = true;
+        } else if (retries > 0) {
+          At(now_ + 200, [this, id, path, body, retries] { Submit(id, path, body, retries - 1); });
+        }
+      });
+}
+
+void FleetSim::Cancel(ClientJob& job) {
+  const std::string path = config.FindQueue(job.queue)->path_prefix + job.id.str();
+  const bool accepted = job.accepted;
+  CallNode(path, CallKind::kCancel, "", [this, key = job.id, accepted](const CallerReply& reply) {
+    ClientJob& it = jobs.at(key);
+    if (reply.kind == CallerReply::Kind::kCancelled) it.cancelled = true;
+    if (reply.kind == CallerReply::Kind::kGone && accepted) Violate("LOST: 410 for " + key.str());
+  });
+}
+
+void FleetSim::Poll(ClientJob& job) {
+  if (!job.accepted) return;
+  const std::string path = config.FindQueue(job.queue)->path_prefix + job.id.str();
+  CallNode(path, CallKind::kRead, "", [this, key = job.id](const CallerReply& reply) {
+    ClientJob& it = jobs.at(key);
+    if (reply.kind == CallerReply::Kind::kGone) Violate("LOST: 410 for " + key.str());
+    if (reply.kind != CallerReply::Kind::kState) return;
+    it.state = reply.state;
+    if (reply.state == "completed") {
+      std::size_t tasks = 0;
+      for (const StepSpec& step : it.spec.steps) tasks += step.count;
+      if (it.done.size() < tasks) Violate("MIXED: completed too early " + key.str());
+    }
+    if (reply.state == "failed") {
+      const bool cause = std::any_of(it.failed.begin(), it.failed.end(),
+                                     [](const auto& row) { return row.second >= kAttempts; });
+      if (!cause) Violate("LOST: shown failed without cause " + key.str());
+    }
+  });
+}
+
+std::vector<std::string> FleetSim::Unfinished() {
+  std::vector<std::string> rest;
+  for (const auto& [id, job] : jobs) {
+    if (!job.accepted) continue;
+    if (job.spec.steps[0].lasting) {
+      if (job.cancelled) continue;
+      for (int n = 0; n < job.spec.steps[0].count; ++n) {
+        const std::string task = TaskKey{id, 0, 0, n}.str();
+        const bool runs = std::any_of(backends.begin(), backends.end(), [&](const auto& it) {
+          return it.second.alive && it.second.running.count(task) > 0;
+        });
+        if (!runs && !job.hopeless) rest.push_back(task + " does not run");
+      }
+    } else if (job.state == "queued" || job.state == "running" || job.state.empty()) {
+      rest.push_back(id.str() + " is shown " + job.state);
+    }
+  }
+  for (const auto& [id, backend] : backends) {
+    if (!backend.alive) continue;
+    for (const auto& [task, run] : backend.running) {
+      const auto key = ParseTaskKey(task);
+      if (jobs.at(key->job).cancelled) rest.push_back(task + " runs on though cancelled");
+    }
+    constexpr std::int64_t kAcknowledgeTime = 3000;
+    if (!backend.ended.empty() && now_ - backend.last_end_at > kAcknowledgeTime) {
+      rest.push_back(std::to_string(backend.ended.size()) + " ends of " + id.str() +
+                     " not acknowledged, last " + backend.ended.back().task.str());
+    }
+  }
+  return rest;
+}
+
+}  // namespace sapphirewheel::testing
--- /dev/null
+++ b/coordination/tests/fleet_sim_ports.h
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "fleet_sim.h"
+
+namespace sapphirewheel::testing {
+
+// Time of day at the start of the simulation.
+inline constexpr std::int64_t kEpoch = 1'700'000'000'000;
+inline constexpr int kAttempts = 3;
+inline constexpr std::int64_t kTickMs = 20;
+inline constexpr std::int64_t kStopMs = 150;
+inline constexpr std::int64_t kLongestLease = 10'000;
+
+// Rows of operators and registry in this simulation: the reports are kept beside the store and the
+// row only names them.
+class SimReader final : public PlatformReader {
+ public:
+  explicit SimReader(FleetSim& sim) : sim_(sim) {}
+  std::string OperatorTable() const override { return "operator"; }
+  std::string RegistryTable() const override { return "registry"; }
+  std::optional<DispatchConfig> Config(const StoredRow& row) const override {
+    if (row.at.key != "config") return std::nullopt;
+    return sim_.config;
+  }
+  std::optional<WaveOrder> Wave(const StoredRow&) const override { return std::nullopt; }
+  std::optional<BackendReport> Backend(const StoredRow& row) const override {
+    const auto it = sim_.backends.find(BackendId(row.at.key));
+    if (row.removed || it == sim_.backends.end()) return std::nullopt;
+    BackendReport report = it->second.report;
+    report.draining = row.value == "draining";
+    return report;
+  }
+  Result<WorkSpec> Submission(const std::string& body) const override {
+    const auto job = DecodeStoredJob(JobId("0"), body);
+    if (!job) return job.error();
+    return job.value().spec;
+  }
+  std::pair<RowAddress, std::string> WaveStatus(std::int64_t, bool) const override { return {}; }
+
+ private:
+  FleetSim& sim_;
+};
+
+// The table service as one process of a node reaches it.
+class SimStore final : public RowStore {
+ public:
+  SimStore(FleetSim& sim, int node, int life) : sim_(sim), node_(node), life_(life) {}
+
+  void Commit(const RowTransaction& tx, Millis timeout, RowsCallback done) override {
+    const bool reachable = Reachable();
+    if (!reachable) {
+      // Silent: the answer never comes.
+      Deliver(timeout.count(), RowsAnswer{}, done);
+      return;
+    }
+    const std::int64_t way = 2 + sim_.Draw(6);
+    if (sim_.Draw() < sim_.settings_.faults.late_store_writes) {
+      sim_.At(sim_.now_ + 1000 + sim_.Draw(3000), [this, tx] {
+        if (!sim_.store_down_) sim_.Apply(tx);
+      });
+      Deliver(timeout.count(), RowsAnswer{}, done);
+      return;
+    }
+    const bool lost = sim_.Draw() < sim_.settings_.faults.lost_store_answers;
+    sim_.At(sim_.now_ + way, [this, tx, timeout, done, lost, way] {
+      const RowsAnswer answer = sim_.Apply(tx);
+      if (lost) {
+        Deliver(timeout.count() - way, RowsAnswer{}, done);
+      } else {
+        Deliver(way, answer, done);
+      }
+    });
+  }
+
+  void Read(const std::string& table, const std::string& part, const std::string& from,
+            const std::string& to, Millis timeout, RowsCallback done) override {
+    if (!Reachable()) {
+      Deliver(timeout.count(), RowsAnswer{}, done);
+      return;
+    }
+    RowsAnswer answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.newest = Revision(sim_.revision_);
+    answer.now = StoreClock(sim_.now_);
+    for (const auto& [key, row] : sim_.rows_) {
+      if (key.table != table || key.part != part || key.key < from) continue;
+      if (!to.empty() && key.key >= to) continue;
+      // Small pages, so that paging is exercised.
+      constexpr std::size_t kPage = 20;
+      if (answer.rows.size() == kPage) {
+        answer.more = true;
+        break;
+      }
+      answer.rows.push_back(StoredRow{key, row.first, Revision(row.second), false});
+    }
+    Deliver(4 + sim_.Draw(6), answer, done);
+  }
+
+  void ListParts(const std::string& table, const std::string& after, Millis timeout,
+                 PartsCallback done) override {
+    PartsAnswer answer;
+    if (!Reachable()) {
+      Deliver(timeout.count(), answer, done);
+      return;
+    }
+    answer.outcome = StoreOutcome::kDone;
+    std::set<std::string> parts;
+    for (const auto& [key, row] : sim_.rows_) {
+      if (key.table == table && key.part > after) parts.insert(key.part);
+    }
+    answer.parts.assign(parts.begin(), parts.end());
+    Deliver(4 + sim_.Draw(6), answer, done);
+  }
+
+  void Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
+              RowsCallback done) override {
+    if (!Reachable()) {
+      Deliver(timeout.count(), RowsAnswer{}, done);
+      return;
+    }
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [this, answered, done](const RowsAnswer& answer) {
+      if (*answered) return;
+      *answered = true;
+      // What is cut while a feed waits gets no answer.
+      if (Reachable())
+        Deliver(2 + sim_.Draw(4), answer, done);
+      else
+        Deliver(1000, RowsAnswer{}, done);
+    };
+    sim_.followers_.push_back({table, after.count(), sim_.now_ + wait.count(), once});
+    sim_.WakeFollowers();
+    sim_.At(sim_.now_ + wait.count(), [this] { sim_.WakeFollowers(); });
+  }
+
+ private:
+  bool Reachable() const { return !sim_.store_down_ && !sim_.nodes[node_].cut_from_store; }
+
+  template <typename Answer, typename Callback>
+  void Deliver(std::int64_t delay, Answer answer, Callback done) {
+    sim_.At(sim_.now_ + std::max<std::int64_t>(1, delay),
+            [this, answer, done] { DeliverNow(answer, done); });
+  }
+  // A frozen process gets its answers when it wakes.
+  template <typename Answer, typename Callback>
+  void DeliverNow(const Answer& answer, const Callback& done) {
+    FleetSim::Node& node = sim_.nodes[node_];
+    if (!node.alive || node.life != life_) return;
+    if (node.frozen) {
+      sim_.At(sim_.now_ + kTickMs, [this, answer, done] { DeliverNow(answer, done); });
+      return;
+    }
+    done(answer);
+  }
+
+  FleetSim& sim_;
+  int node_;
+  int life_;
+};
+
+// Backend servers as one process of a node reaches them.
+class SimBackends final : public BackendServers {
+ public:
+  SimBackends(FleetSim& sim, int node, int life) : sim_(sim), node_(node), life_(life) {}
+
+  void Start(const StartOrder& order, std::function<void(const OrderAnswer&)> done) override {
+    Send(order.backend, done,
+         [this, order](FleetSim::Backend& it) { return sim_.Start(it, order); });
+  }
+  void Stop(const StopOrder& order, std::function<void(const OrderAnswer&)> done) override {
+    Send(order.backend, done,
+         [this, order](FleetSim::Backend& it) { return sim_.Stop(it, order); });
+  }
+  void Pace(const PaceOrder&, std::function<void(const OrderAnswer&)>) override {}
+  void Look(const LookOrder& order, std::function<void(const LookAnswer&)> done) override {
+    constexpr std::int64_t kTimeout = 900;
+    auto answered = std::make_shared<bool>(false);
+    const std::int64_t timeout = order.wait.count() + kTimeout;
+    const auto once = [answered, done](const LookAnswer& answer) {
+      if (*answered) return;
+      *answered = true;
+      done(answer);
+    };
+    sim_.At(sim_.now_ + timeout, [this, once] { Deliver(LookAnswer{}, once); });
+    const std::int64_t way = 1 + sim_.Draw(5);
+    sim_.At(sim_.now_ + way, [this, order, once, way] {
+      const auto it = sim_.backends.find(order.backend);
+      if (it == sim_.backends.end() || !it->second.alive || it->second.cut) return;
+      sim_.Look(it->second, order, [this, once, way](const LookAnswer& answer) {
+        if (sim_.Draw() < sim_.settings_.faults.lost_order_answers) return;
+        sim_.At(sim_.now_ + way, [this, once, answer] { Deliver(answer, once); });
+      });
+    });
+  }
+
+ private:
+  template <typename Carry>
+  void Send(const BackendId& id, const std::function<void(const OrderAnswer&)>& done, Carry carry) {
+    constexpr std::int64_t kTimeout = 900;
+    const auto it = sim_.backends.find(id);
+    const bool reachable = it != sim_.backends.end() && it->second.alive && !it->second.cut;
+    if (!reachable) {
+      sim_.At(sim_.now_ + kTimeout, [this, done] { Deliver(OrderAnswer{}, done); });
+      return;
+    }
+    const std::int64_t born = it->second.born;
+    if (sim_.Draw() < sim_.settings_.faults.late_orders) {
+      sim_.At(sim_.now_ + 2000 + sim_.Draw(8000), [this, id, carry, born] {
+        const auto late = sim_.backends.find(id);
+        if (late == sim_.backends.end() || !late->second.alive) return;
+        if (late->second.born == born) carry(late->second);
+      });
+      sim_.At(sim_.now_ + kTimeout, [this, done] { Deliver(OrderAnswer{}, done); });
+      return;
+    }
+    const std::int64_t way = 1 + sim_.Draw(8);
+    sim_.At(sim_.now_ + way, [this, id, carry, done, way] {
+      const auto found = sim_.backends.find(id);
+      const bool there = found != sim_.backends.end() && found->second.alive && !found->second.cut;
+      const OrderAnswer answer = there ? carry(found->second) : OrderAnswer{};
+      const bool lost = !there || sim_.Draw() < sim_.settings_.faults.lost_order_answers;
+      sim_.At(sim_.now_ + (lost ? kTimeout : way),
+              [this, done, answer, lost] { Deliver(lost ? OrderAnswer{} : answer, done); });
+    });
+  }
+
+  template <typename Answer, typename Callback>
+  void Deliver(const Answer& answer, const Callback& done) {
+    FleetSim::Node& node = sim_.nodes[node_];
+    if (!node.alive || node.life != life_) return;
+    if (node.frozen) {
+      sim_.At(sim_.now_ + kTickMs, [this, answer, done] { Deliver(answer, done); });
+      return;
+    }
+    done(answer);
+  }
+
+  FleetSim& sim_;
+  int node_;
+  int life_;
+};
+
+}  // namespace sapphirewheel::testing
--- /dev/null
+++ b/coordination/tests/fleet_sim_servers.cc
@@ -0,0 +1,225 @@
+#include <cstdlib>
+
+#include "fleet_sim_ports.h"
+
+namespace sapphirewheel::testing {
+namespace {
+
+std::int64_t WorkOf(const StepSpec& step) { return step.estimate.count(); }
+
+}  // namespace
+
+void FleetSim::RegisterBackend(Backend& backend) {
+  Put({"registry", "", backend.report.id.str()}, "ready");
+}
+
+void FleetSim::SetDraining(const BackendId& id) { Put({"registry", "", id.str()}, "draining"); }
+
+void FleetSim::CrashBackend(const BackendId& id, std::int64_t down_for, bool same_id) {
+  Backend& backend = backends.at(id);
+  backend.alive = false;
+  ForgetUnacknowledged(backend);
+  backend.running.clear();
+  backend.ended.clear();
+  backend.looks.clear();
+  backend.last_run.clear();
+  backend.token = 0;
+  constexpr std::int64_t kSilence = 4500;
+  At(now_ + kSilence, [this, id] {
+    if (!backends.at(id).alive) {
+      RowTransaction tx;
+      tx.removes.push_back({"registry", "", id.str()});
+      Apply(tx);
+    }
+  });
+  At(now_ + down_for, [this, id, same_id] {
+    BackendId next = id;
+    if (!same_id) {
+      next = BackendId(id.str() + "'");
+      backends[next].report = backends.at(id).report;
+      backends[next].report.id = next;
+    }
+    Backend& again = backends[next];
+    again.alive = true;
+    again.cut = false;
+    again.born = now_;
+    again.report.born = UnixMillis(kEpoch + now_);
+    again.next_end = 1;
+    again.seen = 0;
+    again.lease_until = 0;
+    RegisterBackend(again);
+  });
+}
+
+void FleetSim::CheckStart(const Backend& backend, const StartOrder& order) {
+  const std::string task = order.task.str();
+  const auto job = jobs.find(order.task.job);
+  if (job == jobs.end()) {
+    Violate("UNASKED: " + task);
+    return;
+  }
+  ClientJob& it = job->second;
+  const StepSpec& step = it.spec.steps[order.task.step];
+  if (order.payload != it.spec.payload) Violate("UNASKED: other payload of " + task);
+  Resources use = step.Charge();
+  for (const auto& [name, run] : backend.running) use += run.charge;
+  if (!use.FitsIn(backend.report.capacity)) {
+    Violate("LIMIT: " + task + " on " + backend.report.id.str());
+  }
+  for (const auto& [id, other] : backends) {
+    if (other.alive && other.running.count(task) > 0)
+      Violate("TWICE: " + task + " also on " + id.str());
+  }
+  if (it.done_for_good.count(task) > 0) Violate("TWICE: " + task + " was done");
+  for (const int before : step.after) {
+    for (int n = 0; n < it.spec.steps[before].count; ++n) {
+      const TaskKey key{order.task.job, order.task.occurrence, before, n};
+      if (it.done.count(key.str()) == 0) Violate("ORDER: " + task + " before " + key.str());
+    }
+  }
+  if (!step.lasting && it.failed_for_good[task] >= kAttempts) Violate("BUDGET: " + task);
+}
+
+OrderAnswer FleetSim::Start(Backend& backend, const StartOrder& order) {
+  OrderAnswer answer;
+  answer.clock = BackendClock(ClockOf(backend));
+  const std::string task = order.task.str();
+  if (order.token.count() < backend.token) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  backend.token = order.token.count();
+  if (order.lease_until.count() <= ClockOf(backend)) {
+    answer.outcome = OrderOutcome::kLate;
+    return answer;
+  }
+  backend.lease_until = std::max(
+      backend.lease_until, std::min(order.lease_until.count(), ClockOf(backend) + kLongestLease));
+  backend.lapsed = false;
+  answer.outcome = OrderOutcome::kDone;
+  if (const auto it = backend.running.find(task); it != backend.running.end()) {
+    if (it->second.number == order.run) return answer;
+    answer.outcome = OrderOutcome::kOldRun;
+    return answer;
+  }
+  if (order.run.count() <= backend.last_run[task]) {
+    answer.outcome = OrderOutcome::kOldRun;
+    return answer;
+  }
+  CheckStart(backend, order);
+  ++starts;
+  const auto job = jobs.find(order.task.job);
+  if (job == jobs.end()) return answer;
+  const StepSpec& step = job->second.spec.steps[order.task.step];
+  Run run;
+  run.number = order.run;
+  run.charge = step.Charge();
+  run.id = next_run_++;
+  run.will_fail = job->second.hopeless || Draw() < 0.02;
+  backend.running[task] = run;
+  const BackendId id = backend.report.id;
+  if (!step.lasting || run.will_fail) {
+    At(now_ + WorkOf(step) / 2 + Draw(static_cast<int>(WorkOf(step))), [this, id, task, run] {
+      Backend& there = backends.at(id);
+      const auto it = there.running.find(task);
+      if (!there.alive || it == there.running.end() || it->second.id != run.id) return;
+      EndRun(there, task, run.will_fail ? RunEnd::kFailed : RunEnd::kDone);
+    });
+  }
+  return answer;
+}
+
+OrderAnswer FleetSim::Stop(Backend& backend, const StopOrder& order) {
+  OrderAnswer answer;
+  answer.clock = BackendClock(ClockOf(backend));
+  if (order.token.count() < backend.token) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  backend.token = order.token.count();
+  answer.outcome = OrderOutcome::kDone;
+  const std::string task = order.task.str();
+  const auto it = backend.running.find(task);
+  if (it == backend.running.end() || it->second.number != order.run) {
+    backend.last_run[task] = std::max(backend.last_run[task], order.run.count());
+    return answer;
+  }
+  it->second.stopping = true;
+  const std::uint64_t run = it->second.id;
+  At(now_ + Draw(static_cast<int>(kStopMs)), [this, id = backend.report.id, task, run] {
+    Backend& there = backends.at(id);
+    const auto found = there.running.find(task);
+    if (there.alive && found != there.running.end() && found->second.id == run) {
+      EndRun(there, task, RunEnd::kStopped);
+    }
+  });
+  return answer;
+}
+
+void FleetSim::EndRun(Backend& backend, std::string task, RunEnd how) {
+  const auto it = backend.running.find(task);
+  const auto key = ParseTaskKey(task);
+  backend.last_run[task] = it->second.number.count();
+  backend.ended.push_back(ListedEnd{backend.next_end++, *key, it->second.number, how, ""});
+  backend.last_end_at = now_;
+  backend.running.erase(it);
+  ClientJob& job = jobs.at(key->job);
+  if (how == RunEnd::kDone) {
+    job.done.insert(task);
+    job.done_for_good.insert(task);
+  }
+  if (how == RunEnd::kFailed) {
+    ++job.failed[task];
+    ++job.failed_for_good[task];
+  }
+  const auto looks = std::move(backend.looks);
+  backend.looks.clear();
+  for (const auto& look : looks) look.answer(List(backend));
+}
+
+LookAnswer FleetSim::List(const Backend& backend) {
+  LookAnswer answer;
+  answer.outcome = OrderOutcome::kDone;
+  answer.clock = BackendClock(ClockOf(backend));
+  answer.born = backend.report.born;
+  for (const auto& [task, run] : backend.running) {
+    answer.running.push_back(ListedRun{*ParseTaskKey(task), run.number, "", 100, 0});
+  }
+  answer.ended = backend.ended;
+  return answer;
+}
+
+void FleetSim::Look(Backend& backend, const LookOrder& order,
+                    std::function<void(const LookAnswer&)> answer) {
+  if (order.token.count() < backend.token) {
+    LookAnswer refused;
+    refused.outcome = OrderOutcome::kFenced;
+    answer(refused);
+    return;
+  }
+  backend.token = order.token.count();
+  if (order.lease_until) {
+    backend.lease_until = std::max(backend.lease_until, std::min(order.lease_until->count(),
+                                                                 ClockOf(backend) + kLongestLease));
+    backend.lapsed = ClockOf(backend) > backend.lease_until;
+  }
+  std::erase_if(backend.ended,
+                [&](const ListedEnd& it) { return it.number <= order.acknowledged_end; });
+  if (order.wait.count() == 0 || !backend.ended.empty()) {
+    answer(List(backend));
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  const auto once = [answered, answer](const LookAnswer& list) {
+    if (*answered) return;
+    *answered = true;
+    answer(list);
+  };
+  backend.looks.push_back({now_ + order.wait.count(), once});
+  At(now_ + order.wait.count(), [this, id = backend.report.id, once, born = backend.born] {
+    const Backend& there = backends.at(id);
+    if (there.alive && there.born == born) once(List(there));
+  });
+}
+
+}  // namespace sapphirewheel::testing
