--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -35,6 +35,8 @@
 constexpr Millis kConnectTimeout{600};
 // Runs go on for this long after the owner's last order, so that they outlast a change of owner.
 constexpr Millis kWantedLease{6000};
+// From the end of a move to the first start: the registry's feed and a first look.
+constexpr Millis kMoveSlack{300};
 // A node that stops without a word is missed for this long; renewals come four times in it.
 constexpr Millis kWantedOwnership{2000};
 constexpr Millis kRenewInterval{500};
@@ -199,6 +201,7 @@
       kLeastMargin + Millis(static_cast<std::int64_t>(std::hash<NodeId>{}(self) % kSpreadMs));
   settings.owner.dispatcher.lease = std::min(kWantedLease, given.longest_lease - kLeaseReserve);
   settings.owner.dispatcher.longest_lease = given.longest_lease;
+  settings.owner.lender.arrival = given.move_time + kMoveSlack;
   settings.owner.state_kept = given.state_kept;
   settings.owner.maintenance_time = given.maintenance_time;
   return settings;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -85,7 +85,7 @@
   if (fences.empty()) return;
   const auto [vm, pool] = fences.back();
   fences.pop_back();
-  // Neither lent nor maintained meanwhile, or the order would move it back.
+  // A VM with lasting tasks is not lent, so the pool is still its own.
   ports.vms->Move(vm, pool, lease.token(), Guard<VmOrderOutcome>([this](VmOrderOutcome outcome) {
                     if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
                   }));
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -43,10 +43,12 @@
 using GatherRef = std::shared_ptr<Gather>;
 using TakeRow = std::function<void(const StoredRow&)>;
 
+// The state of an owner. It is loaded first; then the dispatcher, the waves and the lender run.
 struct FleetOwner::Impl : std::enable_shared_from_this<FleetOwner::Impl> {
   Impl(Settings given, FleetPorts given_ports, FleetLease& given_lease)
       : settings(given), ports(std::move(given_ports)), lease(given_lease), taken_at(ports.now()) {}
 
+  // fleet_owner_load.cc
   void Load();
   void LoadTables();
   void ReadPart(const std::string& table, const std::string& part, const std::string& from,
@@ -66,13 +68,17 @@
             const std::function<void()>& resync);
   void ResyncJobs();
   void ResyncRegistry();
+
+  // fleet_owner_write.cc
   void Commit();
   void Committed(const RowsAnswer& answer, bool renewed, bool released, MonotonicTime sent);
   void WriteWaveStatus();
+  void Clean();
+
+  // fleet_owner.cc
   void ListVms();
   void QueueFences(const std::vector<VmReport>& vms);
   void SendFence();
-  void Clean();
   void Tick(MonotonicTime now);
   void Note(NodeEvent event, const std::string& detail) const {
     if (ports.note) ports.note(event, detail);
@@ -104,9 +110,11 @@
   std::vector<std::pair<VmId, PoolId>> fences;
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
+  // Of each wave, what earlier owners wrote down.
   std::map<std::int64_t, std::set<VmId>> finished_vms;
   std::set<std::int64_t> known_waves;
 
+  // When this node took the ownership; earlier owners gave no orders later.
   const MonotonicTime taken_at;
   bool loading = false;
   bool running = false;
@@ -126,16 +134,16 @@
   // Time that a write took lately.
   Millis commit_time{20};
   MonotonicTime next_commit;
-  std::map<QueueId, int> waiting_written;
+  // Rows of waves that are to be written, and states that operators are to be told.
   std::map<std::int64_t, std::string> wave_rows;
   std::map<std::int64_t, bool> status_writes;
   bool status_in_flight = false;
+  // The store's clock at `store_read`.
   StoreClock store_now;
   MonotonicTime store_read;
   MonotonicTime next_list;
   bool listing = false;
   MonotonicTime next_clean;
-  std::vector<JobId> cleaned;
 };
 
 }  // namespace sapphirewheel
