Hand forwarded requests back when a daemon has no worker left for them

Cause of the red test Stops.EveryDaemonIsReplacedInTurn: a daemon that leaves passes its workers to its peers at once, but requests that a peer had forwarded to it before stayed in its queue. They may not be forwarded again within a data centre, so they waited for their deadline (14 s in the test), the daemon waited for them before it ended, and the forwarding daemon answered `unknown` at the deadline although nothing had run. The answer of a late request now names the daemon or worker that held it; five of five such answers named a peer that was leaving.

Ruled out: a lost reply of the worker (no late request was running), and a frozen connection between daemons (the peer answered its other calls).

Now: a waiting request that was forwarded and whose service has no worker at this daemon any more is given back as not run; a daemon without workers forwards its own callers' requests into any queue; and the peer gives up 150 ms before the deadline, so that its "not run" is back in time.

--- a/apps/daemon/src/request_path.cc
+++ b/apps/daemon/src/request_path.cc
@@ -17,6 +17,12 @@
                RunState::kUnknown, std::nullopt};
 }
 
+bool HasSlots(const std::vector<ServiceLoad>& loads, const ServiceId& service) {
+  return std::any_of(loads.begin(), loads.end(), [&](const ServiceLoad& it) {
+    return it.service == service && (it.free_slots + it.running).count() > 0;
+  });
+}
+
 ClaimKey KeyOf(const ServiceRequest& request) { return ClaimKey{request.team, request.request}; }
 
 Error DuplicateError(const ClaimReply& reply) {
@@ -62,17 +68,15 @@
   return RemoteNode(request.service);
 }
 
+bool RequestPath::OwnsWorkerOf(const ServiceId& service) const {
+  return HasSlots(parts_.registry.Loads(parts_.config.config(), parts_.clock()), service);
+}
+
 bool RequestPath::IsServedHere(const ServiceId& service) const {
-  const MonotonicTime now = parts_.clock();
-  const auto has_slots = [&service](const std::vector<ServiceLoad>& loads) {
-    return std::any_of(loads.begin(), loads.end(), [&service](const ServiceLoad& load) {
-      return load.service == service && (load.free_slots + load.running).count() > 0;
-    });
-  };
-  if (has_slots(parts_.registry.Loads(parts_.config.config(), now))) return true;
-  const auto peers = parts_.membership.LocalPeers(now);
+  if (OwnsWorkerOf(service)) return true;
+  const auto peers = parts_.membership.LocalPeers(parts_.clock());
   return std::any_of(peers.begin(), peers.end(),
-                     [&](const PeerReport& peer) { return has_slots(peer.loads); });
+                     [&](const PeerReport& peer) { return HasSlots(peer.loads, service); });
 }
 
 std::optional<MemberRecord> RequestPath::RemoteNode(const ServiceId& service) {
@@ -95,16 +99,32 @@
   next_forward_ = now + settings_.forward_interval;
   estimate_.OnLoads(parts_.registry.Loads(parts_.config.config(), now));
   std::vector<std::pair<TaskId, MemberRecord>> found;
+  std::vector<TaskId> stranded;
   for (const auto& [task, pending] : pending_) {
     const bool waits =
         pending.phase == Phase::kQueued && now - pending.item.arrived >= settings_.forward_interval;
     if (!waits) continue;
-    if (auto peer = ForwardTarget(pending.request)) found.emplace_back(task, std::move(*peer));
-    if (found.size() >= settings_.max_forwards) break;
+    if (auto peer = ForwardTarget(pending.request)) {
+      found.emplace_back(task, std::move(*peer));
+    } else if (pending.request.Forwarded() && !OwnsWorkerOf(pending.request.service)) {
+      stranded.push_back(task);
+    }
+    if (found.size() + stranded.size() >= settings_.max_forwards) break;
   }
   for (const auto& [task, peer] : found) {
     if (parts_.scheduler.Remove(task)) Forward(task, peer);
   }
+  for (const TaskId& task : stranded) {
+    if (parts_.scheduler.Remove(task)) HandBack(task);
+  }
+}
+
+void RequestPath::HandBack(const TaskId& task) {
+  const ServiceRequest& request = pending_.at(task).request;
+  Finish(task, NotRun(ErrorKind::kNoCapacity,
+                      "node " + settings_.self.str() + " no longer owns a worker of service " +
+                          request.service.str(),
+                      "send the request again", settings_.retry_after));
 }
 
 std::optional<MemberRecord> RequestPath::PeerWithCapacity(const ServiceRequest& request) const {
@@ -114,14 +134,18 @@
       parts_.registry.Choose(request.service, request.team, one, parts_.config.config(), now)
           .has_value();
   if (has_place && parts_.escrow.Free(request.team) >= one) return std::nullopt;
+  // Without a worker of its own this node cannot wait for a place, so that any queue is better.
+  const bool stranded = !OwnsWorkerOf(request.service);
   const PeerReport* best = nullptr;
   std::int64_t best_free = 0;
   const auto peers = parts_.membership.LocalPeers(now);
   for (const PeerReport& peer : peers) {
     if (peer.leaving) continue;
     for (const ServiceLoad& load : peer.loads) {
+      if (load.service != request.service) continue;
       const std::int64_t free = load.free_slots.count() - load.queued;
-      if (load.service != request.service || free <= best_free) continue;
+      const bool queues = stranded && (load.free_slots + load.running).count() > 0;
+      if (best == nullptr ? free <= 0 && !queues : free <= best_free) continue;
       bool has_tokens = false;
       for (const TeamTokens& it : peer.tokens) {
         has_tokens = has_tokens || (it.team == request.team && it.free_tokens >= one);
@@ -148,7 +172,8 @@
   call.request = request.request;
   call.repeatable = request.repeatable;
   call.urgent = request.urgent;
-  call.deadline = std::max(Millis(1), pending.item.deadline - parts_.clock());
+  const Millis left = pending.item.deadline - parts_.clock() - settings_.forward_reserve;
+  call.deadline = std::max(Millis(1), left);
   call.body = request.body;
   call.traceparent = request.traceparent;
   call.hops_left = same_data_centre ? 0 : 1;
@@ -348,6 +373,15 @@
                 "send the request again with a longer deadline", settings_.retry_after));
 }
 
+std::string RequestPath::LateReason(const Pending& pending) const {
+  if (pending.phase == Phase::kForwarded) {
+    return "the deadline passed before node " + pending.peer.str() + " answered for it";
+  }
+  const Millis ran = parts_.clock() - pending.started;
+  return "the deadline passed while it was running on " + pending.worker->info.vm.str() + " for " +
+         std::to_string(ran.count()) + " ms";
+}
+
 void RequestPath::Tick(MonotonicTime now) {
   ForwardWaiting(now);
   std::vector<TaskId> late;
@@ -363,7 +397,7 @@
       continue;
     }
     // The owner of the running task still gets the reply, which frees the worker's place.
-    Finish(task, Unknown(ErrorKind::kDeadlineExceeded, "the deadline passed while it was running"));
+    Finish(task, Unknown(ErrorKind::kDeadlineExceeded, LateReason(pending_.at(task))));
   }
   for (const TaskId& task : due) {
     if (pending_.contains(task)) Enqueue(task);
--- a/apps/daemon/src/request_path.h
+++ b/apps/daemon/src/request_path.h
@@ -45,6 +45,9 @@
     // reports are as old as a heartbeat, and more would overrun one that has room.
     Millis forward_interval{250};
     std::size_t max_forwards = 32;
+    // The node that a request is forwarded to gives up this long before its deadline, so that its
+    // word on whether the request ran is back in time; above a round trip between data centres.
+    Millis forward_reserve{150};
     // Wait after a worker refused a task, so that a stale view does not make a busy loop.
     Millis refusal_backoff{50};
     // Retry time told to callers when this node has no room.
@@ -104,11 +107,15 @@
   // Where the request should rather run: a peer of this data centre with capacity, or any node of
   // another data centre when no worker of this one runs the service.
   [[nodiscard]] std::optional<MemberRecord> ForwardTarget(const ServiceRequest& request);
+  // Whether this node has a worker that takes work of the service.
+  [[nodiscard]] bool OwnsWorkerOf(const ServiceId& service) const;
   // Whether some node of this data centre has a worker that takes work of the service. The VM list
   // does not tell: workers may be unreachable, or leave by their own notice.
   [[nodiscard]] bool IsServedHere(const ServiceId& service) const;
   [[nodiscard]] std::optional<MemberRecord> RemoteNode(const ServiceId& service);
+  // Forwards what waits, or gives it back to the node that forwarded it when it cannot run here.
   void ForwardWaiting(MonotonicTime now);
+  void HandBack(const TaskId& task);
   void Forward(const TaskId& task, const MemberRecord& peer);
   // Queues the request, or refuses it when it would wait for longer than its deadline.
   void Enqueue(const TaskId& task);
@@ -120,6 +127,8 @@
   void Finish(const TaskId& task, Result<ServiceAnswer> result);
   // Tells the owner of the claim how the request ended; at most once a granted claim.
   void RecordOutcome(const ClaimKey& key, ClaimOutcome outcome, std::optional<KeptAnswer> answer);
+  // Where the request was when its deadline passed, for the answer.
+  [[nodiscard]] std::string LateReason(const Pending& pending) const;
   [[nodiscard]] TaskId NewTaskId();
 
   Settings settings_;
--- a/apps/daemon/src/service_request.h
+++ b/apps/daemon/src/service_request.h
@@ -9,6 +9,9 @@
 
 namespace sapphirewheel {
 
+// Hops of a request that comes from a caller.
+inline constexpr int kCallerHops = 2;
+
 // A request of a team to a service, after its key was checked.
 struct ServiceRequest {
   TeamId team;
@@ -23,7 +26,9 @@
   std::string traceparent;
   // How often it may still be forwarded: once to another data centre, or once within this one.
   // After a hop to another data centre one within it remains.
-  int hops_left = 2;
+  int hops_left = kCallerHops;
+
+  [[nodiscard]] bool Forwarded() const { return hops_left < kCallerHops; }
 };
 
 struct ServiceAnswer {
--- a/tests/integration/stops_test.cc
+++ b/tests/integration/stops_test.cc
@@ -89,6 +89,35 @@
   STRCMP_EQUAL("", CheckEchoes(calls).c_str());
 }
 
+// Guards against a leaving daemon that keeps requests which were forwarded to it while its backend
+// servers pass to another daemon: they would wait there until their deadlines.
+TEST(Stops, LeavingDaemonHandsBackForwardedRequests) {
+  FleetOptions options = QuickFleet();
+  options.data_centres = 1;
+  options.entries = 2;
+  Fleet fleet(options);
+  CHECK_TRUE(OpenService(fleet, options.workers));
+  // More callers than the backend servers have places, so that requests are forwarded and wait.
+  CallerLoad load(fleet, "back", 24, Mixed);
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& vm : fleet.entries()) {
+      CHECK_TRUE(load.AwaitServed(30, 10s));
+      const auto status = fleet.Stop(vm, 20s);
+      CHECK_TRUE(status.has_value());
+      LONGS_EQUAL(0, *status);
+      fleet.Start(vm);
+    }
+  }
+  const auto calls = load.Finish();
+  std::cout << " [" << Summary(calls) << "] ";
+  // All backend servers together need about a second for what waits, far below the deadline.
+  const auto late = std::count_if(calls.begin(), calls.end(), [](const CallerCall& it) {
+    return it.outcome.answer.status == 504;
+  });
+  LONGS_EQUAL(0, late);
+  STRCMP_EQUAL("", CheckNotRun(calls, fleet.WorkerEvents()).c_str());
+}
+
 // Guards against a planned stop that breaks the connections that a caller keeps open.
 TEST(Stops, KeptConnectionsEndBetweenRequests) {
   Fleet fleet(QuickFleet());
