Count an unanswered maintenance order as down until it can no longer come

Cause: the mark of an order without an answer was cleared when the order was repeated. When the repeated one was refused (the VM is busy, for example because the first one has just begun), the VM no longer counted as down and the next VM of the wave was ordered: one VM more than the wave allows could be down. Found by mutation: breaking the guard made no test fail, because the guard could never hold.

Now the mark carries the time until which such an order may be carried out (13 s, the bound that moves of VMs use as well, now in one place). New test OrdersNoOtherVmWhileAnOrderMayStillBeCarriedOut: red before, green after.

--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -107,6 +107,9 @@
   kUnknown,
 };
 
+// An order without an answer may be carried out this much later.
+inline constexpr Millis kLateVmOrder{13'000};
+
 struct VmListAnswer {
   bool complete = false;
   std::vector<VmReport> vms;
--- a/coordination/include/sapphirewheel/coordination/maintenance_runner.h
+++ b/coordination/include/sapphirewheel/coordination/maintenance_runner.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -63,7 +64,8 @@
     MonotonicTime retry_at;
     // The life whose end shows that the maintenance has begun.
     BackendId before;
-    bool unknown_order = false;
+    // Set while an order without an answer may still be carried out.
+    std::optional<MonotonicTime> late_until;
   };
   struct Wave {
     WaveOrder order;
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -80,10 +80,10 @@
       return;
     case VmOrderOutcome::kUnknown:
       // It may have begun, so it goes on counting as down.
-      entry->second.unknown_order = true;
+      entry->second.late_until = now + kLateVmOrder;
       break;
     default:
-      if (!entry->second.unknown_order) {
+      if (!entry->second.late_until || now >= *entry->second.late_until) {
         SetPhase(wave->second, vm, entry->second, VmPhase::kFreeing, now);
       }
       break;
@@ -151,7 +151,7 @@
     ++freeing;
   }
   for (auto& [vm, entry] : wave.vms) {
-    const bool repeat = entry.phase == VmPhase::kOrdered && entry.unknown_order;
+    const bool repeat = entry.phase == VmPhase::kOrdered && entry.late_until;
     if (entry.phase != VmPhase::kFreeing && !repeat) continue;
     if (now < entry.retry_at) continue;
     const auto backend = by_vm.find(vm);
@@ -163,10 +163,10 @@
       const bool idle = !there || hooks_.is_idle(backend->second->id);
       if (down >= wave.order.max_down || !up || !idle) continue;
       entry.before = there ? backend->second->id : listed->second.backend;
+      entry.late_until.reset();
       SetPhase(wave, vm, entry, VmPhase::kOrdered, now);
       ++down;
     }
-    entry.unknown_order = false;
     constexpr Millis kOrderPending{60'000};
     entry.retry_at = now + kOrderPending;
     hooks_.maintain(vm, wave.order.number);
--- a/coordination/src/pool_lender.cc
+++ b/coordination/src/pool_lender.cc
@@ -11,8 +11,6 @@
 constexpr Millis kMoveLost{6000};
 // Pause before an unanswered move is repeated.
 constexpr Millis kMoveRetry{200};
-// An order without an answer may be carried out this much later, so the VM is not moved on before.
-constexpr Millis kLateOrder{13'000};
 
 }  // namespace
 
@@ -72,7 +70,8 @@
   if (outcome == VmOrderOutcome::kUnknown) {
     // Repeated until it is answered; a second one has no further effect.
     entry.retry_at = now + kMoveRetry;
-    entry.held_until = now + kLateOrder;
+    // A late move must not meet the VM at its next place.
+    entry.held_until = now + kLateVmOrder;
     return;
   }
   if (outcome == VmOrderOutcome::kWrong) refused_[vm].push_back(*entry.target);
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -30,7 +30,11 @@
   std::optional<AdvicePolicy> advice_policy;
   std::map<BackendId, std::vector<ListedRun>> running;
   std::map<BackendId, std::vector<ListedEnd>> ended;
+  std::vector<PaceOrder> paces;
   std::set<BackendId> silent;
+  // Life of all backend servers, and the number of the next end in it.
+  std::int64_t born = 1;
+  std::int64_t next_end = 1;
   std::size_t written = 0;
   std::unique_ptr<Dispatcher> dispatcher;
 
@@ -43,6 +47,7 @@
     hooks.start = [this](const StartOrder& it) { starts.push_back(it); };
     hooks.stop = [this](const StopOrder& it) { stops.push_back(it); };
     hooks.look = [this](const LookOrder& it) { looks.push_back(it); };
+    hooks.pace = [this](const PaceOrder& it) { paces.push_back(it); };
     hooks.advise = [this](const AdviceOrder& it) { advice.push_back(it); };
     hooks.wall_clock = [this] { return UnixMillis(now_ms); };
     Dispatcher::Settings settings;
@@ -67,7 +72,7 @@
     report.pool = PoolId("p");
     report.capacity = kServer;
     report.labels = std::move(labels);
-    report.born = UnixMillis(1);
+    report.born = UnixMillis(born);
     dispatcher->UpsertBackend(report, Now());
   }
 
@@ -82,6 +87,20 @@
     dispatcher->AddJob(job, std::nullopt, inherited, Now());
   }
 
+  // A job of one task that is due twice, with the time between.
+  void AddTimedJob(const char* id, int first_due, int interval,
+                   const std::optional<JobProgress>& progress) {
+    StoredJob job;
+    job.id = JobId(id);
+    job.queue = QueueId("q");
+    job.accepted_at = UnixMillis(now_ms);
+    job.spec.steps = {Step(1, 1000)};
+    job.spec.repetitions = 2;
+    job.spec.first_due = UnixMillis(first_due);
+    job.spec.interval = Millis(interval);
+    dispatcher->AddJob(job, progress, progress.has_value(), Now());
+  }
+
   // Passes time; looks are answered from `running` and `ended`, starts are confirmed.
   void Pass(int ms) {
     for (const int until = now_ms + ms; now_ms < until; now_ms += 20) {
@@ -109,7 +128,7 @@
     if (silent.count(order.backend) == 0) {
       answer.outcome = OrderOutcome::kDone;
       answer.clock = BackendClock(now_ms);
-      answer.born = UnixMillis(1);
+      answer.born = UnixMillis(born);
       // Work that is not finished advances.
       for (ListedRun& it : running[order.backend]) it.percent += it.percent < 99 ? 1 : 0;
       answer.running = running[order.backend];
@@ -122,8 +141,7 @@
 
   void End(const StartOrder& order, RunEnd how) {
     std::erase_if(running[order.backend], [&](const auto& it) { return it.task == order.task; });
-    static std::int64_t number = 0;
-    ended[order.backend].push_back({++number, order.task, order.run, how, ""});
+    ended[order.backend].push_back({next_end++, order.task, order.run, how, ""});
   }
 };
 
@@ -333,3 +351,196 @@
   dispatcher->OnLook(looks.front(), answer, Now(), Now());
   CHECK(dispatcher->fenced());
 }
+
+TEST(Dispatcher, AStartThatIsFencedEndsTheOwner) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  CHECK_FALSE(dispatcher->fenced());
+  dispatcher->OnStop({starts[0].backend, "", Epoch(1), starts[0].task, starts[0].run},
+                     {OrderOutcome::kFenced, std::nullopt}, Now());
+  CHECK(dispatcher->fenced());
+}
+
+// What is not in the stored roster would be missed by the next owner.
+TEST(Dispatcher, StartsNothingOnABackendServerBeforeTheRosterIsWritten) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  for (int n = 0; n < 10; ++n, now_ms += 20) {
+    dispatcher->Tick(Now(), true);
+    for (const LookOrder& it : std::exchange(looks, {})) Answer(it);
+  }
+  LONGS_EQUAL(0, starts.size());
+  Pass(200);
+  LONGS_EQUAL(1, starts.size());
+}
+
+TEST(Dispatcher, ABackendServerThatIsFreedGetsNothingNew) {
+  AddBackend("b1");
+  Pass(100);
+  dispatcher->SetEvacuating(BackendId("b1"), true);
+  AddJob("j1", {Step(1, 1000)});
+  Pass(500);
+  LONGS_EQUAL(0, starts.size());
+}
+
+// A new life counts its ends anew, so a number that was seen may be another end.
+TEST(Dispatcher, SeesTheEndsOfABackendServerThatStartedAgain) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  AddJob("j2", {Step(1, 1000)});
+  Pass(300);
+  LONGS_EQUAL(2, starts.size());
+  End(starts[0], RunEnd::kDone);
+  Pass(300);
+  born = 2;
+  next_end = 1;
+  running.clear();
+  ended.clear();
+  Pass(300);
+  LONGS_EQUAL(3, starts.size());
+  End(starts[2], RunEnd::kDone);
+  Pass(1000);
+  LONGS_EQUAL(3, starts.size());
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+}
+
+TEST(Dispatcher, IgnoresALateAnswerOfAnEarlierLife) {
+  AddBackend("b1");
+  Pass(100);
+  born = 2;
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  LONGS_EQUAL(1, starts.size());
+  LookAnswer late;
+  late.outcome = OrderOutcome::kDone;
+  late.clock = BackendClock(now_ms);
+  late.born = UnixMillis(1);
+  dispatcher->OnLook({BackendId("b1"), "", Epoch(1)}, late, Now(), Now());
+  Pass(300);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// What an earlier owner may have started there counts against the team.
+TEST(Dispatcher, KeepsTheUpperLimitWhileRunsOfAnEarlierOwnerMayBeHidden) {
+  Make(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("gone"), {PoolId("p"), std::nullopt}}},
+                        Now());
+  AddBackend("b1");
+  AddJob("j1", {Step(2, 1000)}, "t", true);
+  AddJob("j2", {Step(3, 1000)}, "t");
+  Pass(3000);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(starts[0].task.job == JobId("j2"));
+  Pass(5000);
+  LONGS_EQUAL(3, starts.size());
+}
+
+// A run that nobody wants takes its room until it has ended.
+TEST(Dispatcher, PlacesNothingInTheRoomOfAnUnwantedRun) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 6000)});
+  Pass(300);
+  dispatcher->CancelJob(JobId("j1"), Now());
+  Pass(100);
+  LONGS_EQUAL(1, stops.size());
+  dispatcher->OnStop(stops[0], {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  running[BackendId("b1")] = {{{JobId("j1"), 0, 0, 0}, RunNumber(7), "", 10, 0}};
+  Pass(300);
+  CHECK(std::any_of(stops.begin(), stops.end(),
+                    [](const auto& it) { return it.run == RunNumber(7); }));
+  AddJob("j2", {Step(1, 3000)});
+  Pass(300);
+  LONGS_EQUAL(1, starts.size());
+  running.clear();
+  Pass(500);
+  LONGS_EQUAL(2, starts.size());
+}
+
+// The group's backend servers show full progress from the start, so nothing advances.
+TEST(Dispatcher, StopsATaskThatStandsStill) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(2000);
+  LONGS_EQUAL(0, stops.size());
+  Pass(2000);
+  LONGS_EQUAL(1, stops.size());
+}
+
+TEST(Dispatcher, FillersKeepAwayFromTasksThatServe) {
+  AddBackend("b1");
+  StepSpec serving = Step(1, 1000);
+  serving.lasting = true;
+  serving.latency_target = Millis(100);
+  AddJob("j1", {serving});
+  Pass(300);
+  StepSpec filler = Step(1, 1000);
+  filler.fills = true;
+  AddJob("j2", {filler});
+  Pass(500);
+  LONGS_EQUAL(1, starts.size());
+  AddBackend("b2");
+  Pass(500);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b2"));
+  // Nor does a task that serves come beside a filler.
+  serving.each.cpu_millis = 7500;
+  AddJob("j3", {serving});
+  Pass(500);
+  LONGS_EQUAL(2, starts.size());
+}
+
+// An earlier owner may have left them side by side.
+TEST(Dispatcher, SlowsAFillerBesideATaskWhoseTailNearsItsTarget) {
+  Make(2);
+  StepSpec serving = Step(1, 1000);
+  serving.lasting = true;
+  serving.latency_target = Millis(100);
+  StepSpec filler = Step(1, 1000);
+  filler.fills = true;
+  AddJob("j1", {serving}, "", true);
+  AddJob("j2", {filler}, "", true);
+  auto& runs = running[BackendId("b1")];
+  runs.push_back({{JobId("j1"), 0, 0, 0}, RunNumber(3), "", 100, 80});
+  runs.push_back({{JobId("j2"), 0, 0, 0}, RunNumber(3), "", 10, 0});
+  AddBackend("b1");
+  Pass(300);
+  LONGS_EQUAL(1, paces.size());
+  LONGS_EQUAL(0, paces[0].percent);
+  CHECK(paces[0].task.job == JobId("j2"));
+  running[BackendId("b1")][0].load = 40;
+  Pass(300);
+  LONGS_EQUAL(2, paces.size());
+  LONGS_EQUAL(100, paces[1].percent);
+}
+
+TEST(Dispatcher, StartsATimedJobWhenItIsDue) {
+  AddBackend("b1");
+  AddTimedJob("j1", 2000, 3000, std::nullopt);
+  Pass(1900);
+  LONGS_EQUAL(0, starts.size());
+  Pass(400);
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(0, starts[0].task.occurrence);
+  End(starts[0], RunEnd::kDone);
+  Pass(2500);
+  LONGS_EQUAL(1, starts.size());
+  Pass(600);
+  LONGS_EQUAL(2, starts.size());
+  LONGS_EQUAL(1, starts[1].task.occurrence);
+}
+
+TEST(Dispatcher, RepeatsNoOccurrenceThatAnEarlierOwnerFinished) {
+  AddBackend("b1");
+  JobProgress progress;
+  progress.FinishOccurrence(0);
+  now_ms = 4000;
+  AddTimedJob("j1", 2000, 3000, progress);
+  Pass(800);
+  LONGS_EQUAL(0, starts.size());
+  Pass(600);
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, starts[0].task.occurrence);
+}
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -156,6 +156,7 @@
   ++revision_;
   for (const auto& [key, value] : tx.writes) {
     rows_[key] = {value, revision_};
+    if (key == rows::Owner()) renewed_[OwnerRow::Decode(value).value().token.count()] = now_;
     log_.emplace_back(revision_, key);
   }
   for (const RowAddress& key : tx.removes) {
@@ -204,6 +205,14 @@
   for (const auto& [follower, answer] : due) follower.answer(answer);
 }
 
+void FleetSim::CheckLease(Epoch token) {
+  const std::int64_t over = renewed_[token.count()] + FleetLease::Settings{}.lease.count();
+  if (now_ > over) {
+    Violate("an order of token " + std::to_string(token.count()) + " came " +
+            std::to_string(now_ - over) + " ms after its lease");
+  }
+}
+
 void FleetSim::DropHistory() {
   log_start_ = revision_;
   log_.clear();
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -156,6 +156,8 @@
   void EndRun(Backend& backend, std::string task, RunEnd how);
   LookAnswer List(const Backend& backend);
   void CheckStart(const Backend& backend, const StartOrder& order);
+  // An owner gives no orders when its lease, counted from its last written renewal, is over.
+  void CheckLease(Epoch token);
   void RegisterBackend(Backend& backend);
   void ForgetUnacknowledged(Backend& backend);
   void Submit(const JobId& id, const std::string& path, const std::string& body, int retries);
@@ -173,6 +175,8 @@
   std::vector<std::pair<std::uint64_t, RowAddress>> log_;
   std::uint64_t log_start_ = 0;
   std::uint64_t revision_ = 0;
+  // When the owner row was last written with a token.
+  std::map<std::uint64_t, std::int64_t> renewed_;
   std::vector<Follower> followers_;
   bool store_down_ = false;
   std::uint64_t next_run_ = 1;
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -171,10 +171,12 @@
   SimBackends(FleetSim& sim, int node, int life) : SimProcess(sim, node, life) {}
 
   void Start(const StartOrder& order, std::function<void(const OrderAnswer&)> done) override {
+    sim_.CheckLease(order.token);
     Send(order.backend, done,
          [this, order](FleetSim::Backend& it) { return sim_.Start(it, order); });
   }
   void Stop(const StopOrder& order, std::function<void(const OrderAnswer&)> done) override {
+    sim_.CheckLease(order.token);
     Send(order.backend, done,
          [this, order](FleetSim::Backend& it) { return sim_.Stop(it, order); });
   }
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -89,6 +89,35 @@
   CHECK(ordered[0] == ordered[1]);
 }
 
+// It counts on even when the VM is no longer free, and another one would be.
+TEST(MaintenanceRunner, OrdersNoOtherVmWhileAnOrderMayStillBeCarriedOut) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(100));
+  busy.insert(BackendId("b-v1"));
+  runner.Tick(backends, At(1000));
+  LONGS_EQUAL(2, ordered.size());
+  CHECK(ordered[1] == VmId("v1"));
+  // The repeated order is refused, which says nothing of the first one.
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(1100));
+  for (int at = 2000; at < 13'000; at += 500) {
+    runner.Tick(backends, At(at));
+    if (ordered.back() == VmId("v1")) {
+      runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(at + 10));
+    }
+  }
+  CHECK(
+      std::all_of(ordered.begin(), ordered.end(), [](const auto& it) { return it == VmId("v1"); }));
+  // Too late to be carried out.
+  for (int at = 13'500; at < 15'000; at += 500) {
+    runner.Tick(backends, At(at));
+    if (ordered.back() != VmId("v1")) break;
+    runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(at + 10));
+  }
+  CHECK(ordered.back() == VmId("v2"));
+}
+
 // VMs of a spare pool are off and have no backend server by which their return shows.
 TEST(MaintenanceRunner, SeesTheReturnOfAVmWithoutBackendServer) {
   vms.push_back(VmReport{VmId("v1"), PoolId("spare"), VmState::kUp, BackendId()});
--- a/coordination/tests/pool_lender_test.cc
+++ b/coordination/tests/pool_lender_test.cc
@@ -150,3 +150,37 @@
   }
   LONGS_EQUAL(0, moves.size());
 }
+
+// A VM with tasks stays, however much another pool wants.
+TEST(PoolLender, LendsNoVmWithTasks) {
+  AddVms("a", 6, 1);
+  AddVms("b", 2, 3);
+  Play(0, 1000);
+  loads[PoolId("b")].waiting_work = 40 * kServerSecond;
+  Play(1100, 4000);
+  LONGS_EQUAL(0, moves.size());
+}
+
+// A new owner has not measured the load yet.
+TEST(PoolLender, MovesNothingBeforeItHasMeasured) {
+  AddVms("a", 2, 3);
+  AddVms("b", 2, 3);
+  AddVms("off", 6, 0);
+  loads[PoolId("a")].waiting_work = 40 * kServerSecond;
+  const int window = static_cast<int>(PoolLender::Settings{}.window.count());
+  Play(0, window - 100);
+  LONGS_EQUAL(0, moves.size());
+  Play(window, window + 100);
+  LONGS_EQUAL(6, moves.size());
+}
+
+TEST(PoolLender, LendsNoVmThatIsDueForMaintenance) {
+  AddVms("a", 6, 0);
+  AddVms("b", 2, 3);
+  loads[PoolId("b")].waiting_work = 40 * kServerSecond;
+  for (int at = 0; at <= 5000; at += 100) {
+    lender.Tick(
+        backends, loads, [](const VmId&) { return true; }, At(at));
+  }
+  LONGS_EQUAL(0, moves.size());
+}
