--- a/apps/daemon/src/deployed_metrics.cc
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -47,6 +47,11 @@
 
 }  // namespace
 
+DeployedMetrics::DeployedMetrics() {
+  SetOwner(false);
+  SetLinesLeftOut(0);
+}
+
 void DeployedMetrics::CountEvent(Event event) {
   registry_
       .GetCounter("sapphirewheel_events_total", "Decisions and changes by event.",
--- a/apps/daemon/src/deployed_metrics.h
+++ b/apps/daemon/src/deployed_metrics.h
@@ -12,6 +12,8 @@
 // Counters, gauges and histograms of a daemon on the users' platform.
 class DeployedMetrics {
  public:
+  // Gauges are there from the start, so that their absence is not taken for zero.
+  DeployedMetrics();
   // One decision or change, by the event that is logged for it.
   void CountEvent(Event event);
   // A caller's call that was answered.
--- a/coordination/include/sapphirewheel/coordination/front_desk.h
+++ b/coordination/include/sapphirewheel/coordination/front_desk.h
@@ -33,6 +33,8 @@
   // The configuration in force was confirmed to be the newest as of `at`. Times are on a clock that
   // goes on while the VM is suspended.
   void Confirm(MonotonicTime at) { confirmed_ = at; }
+  // Time since then.
+  [[nodiscard]] Millis Age(MonotonicTime now) const { return now - confirmed_; }
 
   // Errors: kNotFresh (not run, retry later), kNotFound, kUnauthenticated.
   [[nodiscard]] Result<Admission> Admit(const std::string& host, const std::string& path,
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -57,18 +57,27 @@
   return call.answer_by - ports.now();
 }
 
+void EntryNode::Impl::Refuse(const std::string& path, const Error& error,
+                             const Respond& respond) const {
+  const auto& config = desk.config();
+  Note(NodeEvent::kCallRefused,
+       path + " " + RunStateName(error.run) + " " + ErrorCode(error.kind) + ": " + error.message +
+           "; configuration version " + std::to_string(config ? config->version.count() : 0) +
+           " confirmed " + std::to_string(desk.Age(ports.now()).count()) + " ms before");
+  respond(Failure(error));
+}
+
 void EntryNode::Impl::Handle(const CallerCall& call, Respond respond) {
   const MonotonicTime now = ports.now();
   auto admission = desk.Admit(call.host, call.path, call.key, now);
   if (!admission) {
-    Note(NodeEvent::kCallRefused, call.path + " " + admission.error().message);
-    respond(Failure(admission.error()));
+    Refuse(call.path, admission.error(), respond);
     return;
   }
   const FrontDesk::Admission& admitted = admission.value();
   const MonotonicTime answer_by = now + call.deadline - kReplyReserve;
   if (admitted.rest.empty() && call.kind == CallKind::kRead) {
-    ReadWaiting(admitted.queue, respond, answer_by);
+    ReadWaiting(admitted.queue, call.path, respond, answer_by);
     return;
   }
   if (!IsJobId(admitted.rest)) {
@@ -76,7 +85,7 @@
         call.kind == CallKind::kSubmit ? ErrorKind::kInvalidArgument : ErrorKind::kNotFound,
         "the path does not end with a job's id",
         "use 16 hexadecimal digits after the queue's prefix", RunState::kNotRun, std::nullopt};
-    respond(Failure(error));
+    Refuse(call.path, error, respond);
     return;
   }
   auto pending = std::make_shared<CallInProgress>();
@@ -93,14 +102,13 @@
   }
   auto spec = ports.reader.Submission(call.body);
   if (!spec) {
-    Note(NodeEvent::kCallRefused, call.path + " " + spec.error().message);
-    pending->respond(Failure(spec.error()));
+    Refuse(call.path, spec.error(), pending->respond);
     return;
   }
   // What surely cannot be stored is refused before anything is sent, so that the refusal is true
   // and the caller goes to another node at once.
   if (!config_reachable) {
-    pending->respond(Failure(Unavailable(false)));
+    Refuse(call.path, Unavailable(false), pending->respond);
     return;
   }
   pending->stored = StoredJob{pending->job,       admitted.queue, admitted.team,
@@ -235,8 +243,8 @@
                      }));
 }
 
-void EntryNode::Impl::ReadWaiting(const QueueId& queue, const Respond& respond,
-                                  MonotonicTime answer_by) {
+void EntryNode::Impl::ReadWaiting(const QueueId& queue, const std::string& path,
+                                  const Respond& respond, MonotonicTime answer_by) {
   const MonotonicTime now = ports.now();
   if (owner && owner->running() && lease.MayAct(now)) {
     const auto counts = owner->Waiting();
@@ -247,30 +255,31 @@
     return;
   }
   if (waiting && now - waiting_read < kWaitingReuse) {
-    ReplyWaiting(queue, respond);
+    ReplyWaiting(queue, path, respond);
     return;
   }
   const RowAddress at = rows::Owned(rows::kWaiting);
   ports.store.Read(at.table, at.part, at.key, at.key + kAboveKey,
                    std::min(kStoreTimeout, answer_by - now),
-                   Guard<const RowsAnswer&>([this, queue, respond](const RowsAnswer& answer) {
+                   Guard<const RowsAnswer&>([this, queue, path, respond](const RowsAnswer& answer) {
                      const StoredRow* row = FindRow(answer, rows::kWaiting);
                      if (answer.outcome != StoreOutcome::kDone || row == nullptr) {
-                       respond(Failure(Unavailable(false)));
+                       Refuse(path, Unavailable(false), respond);
                        return;
                      }
                      waiting = WaitingCounts::Decode(row->value);
                      waiting_now = answer.now;
                      waiting_read = ports.now();
-                     ReplyWaiting(queue, respond);
+                     ReplyWaiting(queue, path, respond);
                    }));
 }
 
-void EntryNode::Impl::ReplyWaiting(const QueueId& queue, const Respond& respond) {
+void EntryNode::Impl::ReplyWaiting(const QueueId& queue, const std::string& path,
+                                   const Respond& respond) {
   const bool fresh =
       waiting && Millis(waiting_now.count() - waiting->at.count()) <= settings.waiting_freshness;
   if (!fresh) {
-    respond(Failure(Unavailable(false)));
+    Refuse(path, Unavailable(false), respond);
     return;
   }
   CallerReply reply = Simple(CallerReply::Kind::kWaiting);
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -48,6 +48,8 @@
 
   // entry_node_calls.cc
   void Handle(const CallerCall& call, Respond respond);
+  // Answers a call that nothing was done for, and tells why.
+  void Refuse(const std::string& path, const Error& error, const Respond& respond) const;
   void Submit(const Pending& call);
   // Reads one row for a call and passes it on, null when it is absent; reads again or answers the
   // call when the store does not.
@@ -57,8 +59,9 @@
   void ReadJob(const Pending& call);
   void Cancel(const Pending& call);
   void WriteCancel(const Pending& call, Revision revision);
-  void ReadWaiting(const QueueId& queue, const Respond& respond, MonotonicTime answer_by);
-  void ReplyWaiting(const QueueId& queue, const Respond& respond);
+  void ReadWaiting(const QueueId& queue, const std::string& path, const Respond& respond,
+                   MonotonicTime answer_by);
+  void ReplyWaiting(const QueueId& queue, const std::string& path, const Respond& respond);
   void Later(Millis delay, std::function<void()> task);
   [[nodiscard]] Millis Remaining(const CallInProgress& call) const;
   // Tries the store once more where that is worth it; else answers the call.
--- a/coordination/src/front_desk.cc
+++ b/coordination/src/front_desk.cc
@@ -21,7 +21,7 @@
 Result<FrontDesk::Admission> FrontDesk::Admit(const std::string& host, const std::string& path,
                                               const std::string& key, MonotonicTime now) const {
   if (!config_) return NotFresh();
-  const Millis age = now - confirmed_;
+  const Millis age = Age(now);
   const QueuePolicy* queue = config_->Route(host, path);
   if (queue == nullptr) {
     if (age > settings_.refusal_freshness) return NotFresh();
@@ -46,7 +46,7 @@
 }
 
 bool FrontDesk::Ready(MonotonicTime now) const {
-  return config_ && now - confirmed_ <= settings_.key_freshness;
+  return config_ && Age(now) <= settings_.key_freshness;
 }
 
 }  // namespace sapphirewheel
--- a/transport/src/telemetry.cc
+++ b/transport/src/telemetry.cc
@@ -6,9 +6,11 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <pthread.h>
 
 #include <atomic>
 #include <fstream>
+#include <iostream>
 #include <shared_mutex>
 #include <thread>
 
@@ -42,7 +44,7 @@
   InitializeLogging();
   log4cplus::SharedAppenderPtr appender;
   if (settings.log_file.empty()) {
-    constexpr bool kFlushEachLine = true;
+    constexpr bool kFlushEachLine = false;
     appender = new log4cplus::ConsoleAppender(!settings.standard_output, kFlushEachLine);
   } else {
     appender = new log4cplus::FileAppender(settings.log_file, std::ios_base::app);
@@ -88,16 +90,22 @@
 
 void Telemetry::Impl::Run() {
   constexpr std::chrono::milliseconds kFlushInterval{500};
+  // Lines wait this long for others, so that one wake-up and one write carry several.
+  constexpr std::chrono::milliseconds kGather{10};
+  // Shows the cost of the logs in the process's list of threads.
+  pthread_setname_np(pthread_self(), "telemetry");
   while (true) {
     const bool last = stopping;
     auto record = ring.PopFor(kFlushInterval);
-    if (record) {
-      Write(*record);
-      continue;
+    if (record && !last) std::this_thread::sleep_for(kGather);
+    const bool quiet = !record;
+    for (; record; record = ring.PopFor(std::chrono::milliseconds(0))) Write(*record);
+    if (quiet) {
+      ReportDropped();
+      spans.flush();
     }
-    ReportDropped();
-    spans.flush();
-    if (last) return;
+    std::cout.flush();
+    if (quiet && last) return;
   }
 }
 
