Repeat a look whose answer is overdue, before the lease suffers

When its answer was lost, the owner waited for the whole timeout (1.7 s), took the server for silent, stopped extending and wrote so into the roster; extending again needs another write of the roster. With a second lost answer or a store that answers late, 6 s passed and everything there was killed, lasting tasks as well.

Now a look without an answer 250 ms after the time it asked for is repeated once, without a wait. Looks carry a sequence number, so that an answer that was overtaken, or the timeout of the first one, says nothing any more.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -45,6 +45,8 @@
   std::int64_t acknowledged_end = 0;
   // The answer may wait this long for an end.
   Millis wait{0};
+  // Rises with each look at the backend server, so that answers can be put in order.
+  std::int64_t sequence = 0;
 };
 
 // Let a task work at a share of its speed.
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -391,9 +391,15 @@
   impl_->now_ = now;
   BackendEntry* backend = impl_->FindBackend(order.backend);
   if (backend == nullptr) return;
-  backend->look_in_flight = false;
-  backend->next_look = now + (backend->HasRuns() ? kLookRetry : kProbeInterval);
   if (answer.outcome == OrderOutcome::kFenced) impl_->fenced = true;
+  const bool newest = order.sequence == backend->look_sent;
+  // A look that was repeated: what has been heard since says more than its end does.
+  if (order.sequence <= backend->look_answered) return;
+  if (!newest && answer.outcome != OrderOutcome::kDone) return;
+  if (newest) {
+    backend->look_in_flight = false;
+    backend->next_look = now + (backend->HasRuns() ? kLookRetry : kProbeInterval);
+  }
   if (answer.outcome == OrderOutcome::kOtherLife) {
     impl_->Replaced(*backend);
     return;
@@ -404,6 +410,7 @@
     impl_->Failed(*backend);
     return;
   }
+  backend->look_answered = order.sequence;
   // An answer of an earlier life says nothing of the present one.
   if (answer.born < backend->report.born) return;
   if (answer.born > backend->report.born) impl_->Reborn(*backend, answer.born);
@@ -431,7 +438,7 @@
   impl_->PaceFillers(*backend);
   impl_->AcknowledgeEnds();
   const bool more = answer.ended.size() >= kEndsPerLook;
-  backend->next_look = more ? now : now + impl_->settings.look_pause;
+  if (newest) backend->next_look = more ? now : now + impl_->settings.look_pause;
 }
 
 }  // namespace sapphirewheel
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -11,6 +11,9 @@
 // released below the second.
 constexpr double kSlowAbove = 0.75;
 constexpr double kReleaseBelow = 0.45;
+// An answer that is this much later than its look asked for counts as lost: a look extends the
+// lease, and waiting for the whole timeout would leave too little of it.
+constexpr Millis kLookOverdue{250};
 
 }  // namespace
 
@@ -38,15 +41,22 @@
     order.lease_until = LeaseFor(backend);
     ExtendLease(backend);
   }
-  if (backend.HasRuns() && backend.listed && !backend.failing) order.wait = settings.look_wait;
+  const bool repeated = backend.look_in_flight;
+  if (backend.HasRuns() && backend.listed && !backend.failing && !repeated) {
+    order.wait = settings.look_wait;
+  }
+  order.sequence = ++backend.look_sent;
   backend.look_in_flight = true;
+  backend.repeat_look.reset();
+  if (!repeated && !backend.failing) backend.repeat_look = now_ + order.wait + kLookOverdue;
   hooks.look(order);
 }
 
 void Dispatcher::Impl::SendLooks() {
   for (auto& [id, backend] : backends) {
     BackendEntry& it = *backend;
-    if (it.look_in_flight || now_ < it.next_look) continue;
+    const bool overdue = it.look_in_flight && it.repeat_look && now_ >= *it.repeat_look;
+    if (!overdue && (it.look_in_flight || now_ < it.next_look)) continue;
     if (!it.registered && !it.HasRuns() && it.ends_sent >= it.ends_acknowledged) continue;
     const bool due =
         it.HasRuns() || !it.listed || it.failing || it.ends_acknowledged > it.ends_sent;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -138,7 +138,13 @@
   int serving_tasks = 0;
   int filling_tasks = 0;
 
+  // Sequence numbers of the newest look that was sent, and of the newest that was answered.
+  std::int64_t look_sent = 0;
+  std::int64_t look_answered = 0;
+  // The newest look has neither been answered nor given up.
   bool look_in_flight = false;
+  // When a look without an answer is repeated; each is repeated once.
+  std::optional<MonotonicTime> repeat_look;
   MonotonicTime next_look;
   MonotonicTime last_answer;
   // Everything there has ended by then unless a further order extends it.
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -407,18 +407,77 @@
 
 TEST(Dispatcher, IgnoresALateAnswerOfAnEarlierLife) {
   AddBackend("b1");
-  Pass(100);
+  dispatcher->RosterWritten(*dispatcher->RosterToWrite());
+  dispatcher->Tick(Now(), true);
+  LONGS_EQUAL(1, looks.size());
+  const LookOrder first = looks.front();
+  looks.clear();
+  // The registry tells of the new life before the answer of the earlier one is there.
   born = 2;
   AddBackend("b1");
   AddJob("j1", {Step(1, 1000)});
-  Pass(300);
-  LONGS_EQUAL(1, starts.size());
   LookAnswer late;
   late.outcome = OrderOutcome::kDone;
-  late.clock = BackendClock(now_ms);
+  late.clock = BackendClock(900'000);
   late.born = UnixMillis(1);
-  dispatcher->OnLook({BackendId("b1"), "", Epoch(1)}, late, Now(), Now());
+  dispatcher->OnLook(first, late, Now(), Now());
+  now_ms += 20;
+  dispatcher->Tick(Now(), true);
+  // A start would carry a lease by the earlier life's clock.
+  LONGS_EQUAL(0, starts.size());
+  Pass(1500);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// A lost answer must not cost the lease: the look is repeated long before its timeout.
+TEST(Dispatcher, RepeatsALookWhoseAnswerIsOverdue) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Pass(300);
+  LONGS_EQUAL(1, starts.size());
+  looks.clear();
+  std::vector<LookOrder> sent;
+  const int from = now_ms;
+  while (now_ms < from + 1300) {
+    dispatcher->Tick(Now(), true);
+    sent.insert(sent.end(), looks.begin(), looks.end());
+    looks.clear();
+    now_ms += 20;
+  }
+  LONGS_EQUAL(2, sent.size());
+  CHECK(sent[1].lease_until.has_value());
+  LONGS_EQUAL(0, sent[1].wait.count());
+  // Its answer counts, and the end of the first look's time afterwards says nothing.
+  Answer(sent[1]);
+  dispatcher->OnLook(sent[0], LookAnswer{}, Now(), Now());
+  CHECK(dispatcher->Backends()[0].usable);
+}
+
+// The list of the repeated look is older than what the second one told.
+TEST(Dispatcher, IgnoresAnswersThatOvertookEachOther) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
   Pass(300);
+  looks.clear();
+  const auto before = running;
+  std::vector<LookOrder> sent;
+  const int from = now_ms;
+  while (now_ms < from + 1300) {
+    dispatcher->Tick(Now(), true);
+    sent.insert(sent.end(), looks.begin(), looks.end());
+    looks.clear();
+    now_ms += 20;
+  }
+  LONGS_EQUAL(2, sent.size());
+  End(starts[0], RunEnd::kDone);
+  Answer(sent[1]);
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+  running = before;
+  Answer(sent[0]);
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+  running.clear();
+  Pass(500);
+  LONGS_EQUAL(0, stops.size());
   LONGS_EQUAL(1, starts.size());
 }
 
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -70,6 +70,10 @@
 void KillOwner(FleetSim& sim) {
   const int owner = sim.OwnerNode();
   if (owner < 0) return;
+  // Two owners that are killed within the time of a takeover leave nobody to extend the leases.
+  constexpr std::int64_t kTakeover = 6000;
+  if (sim.now() - sim.owner_killed < kTakeover) sim.lapses_forbidden = false;
+  sim.owner_killed = sim.now();
   sim.KillNode(owner);
   sim.At(sim.now() + 800 + sim.Draw(4000), [&sim, owner] { sim.StartNode(owner); });
 }
@@ -82,7 +86,10 @@
 void CutBackend(FleetSim& sim) {
   const BackendId id = AnyBackend(sim);
   sim.backends.at(id).cut = true;
-  sim.At(sim.now() + 500 + sim.Draw(12'000), [&sim, id] { sim.backends.at(id).cut = false; });
+  sim.At(sim.now() + 500 + sim.Draw(12'000), [&sim, id] {
+    sim.backends.at(id).cut = false;
+    sim.backends.at(id).cut_ended = sim.now();
+  });
 }
 
 }  // namespace
@@ -147,6 +154,8 @@
 
 TEST(FleetSchedule, StoreIsDown) {
   PlayAll({}, [](FleetSim& sim, int) {
+    // Who cannot renew the ownership extends no lease either.
+    sim.lapses_forbidden = false;
     sim.SetStoreDown(true);
     sim.At(sim.now() + 500 + sim.Draw(8000), [&sim] { sim.SetStoreDown(false); });
   });
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -118,6 +118,12 @@
     if (backend.alive && !backend.lapsed && ClockOf(backend) > backend.lease_until) {
       backend.lapsed = true;
       ForgetUnacknowledged(backend);
+      // One that was cut off is looked at again within a probe's interval and its timeout.
+      constexpr std::int64_t kFoundAgain = 2500;
+      const bool reached = !backend.cut && now_ - backend.cut_ended > kFoundAgain;
+      if (lapses_forbidden && reached && !backend.running.empty()) {
+        Violate("the lease of " + id.str() + " ran out though it could be reached");
+      }
       while (!backend.running.empty()) {
         EndRun(backend, backend.running.begin()->first, RunEnd::kLapsed);
       }
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -47,6 +47,7 @@
     BackendReport report;
     bool alive = true;
     bool cut = false;
+    std::int64_t cut_ended = -1'000'000;
     // The lease has ended since the last order that extended it.
     bool lapsed = true;
     std::int64_t born = 0;
@@ -126,6 +127,9 @@
   std::map<JobId, ClientJob> jobs;
   DispatchConfig config;
   int starts = 0;
+  // Whether the lease of a backend server that can be reached may never run out.
+  bool lapses_forbidden = true;
+  std::int64_t owner_killed = -1'000'000;
 
  private:
   friend class SimStore;
