--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -181,6 +181,15 @@
   });
 }
 
+TEST(FleetSchedule, NodesAreStoppedAndStartedInTurn) {
+  PlayAll({}, [](FleetSim& sim, int round) {
+    constexpr std::int64_t kDrain = 2500;
+    sim.nodes[round].entry->BeginStop();
+    sim.At(sim.now() + kDrain, [&sim, round] { sim.KillNode(round); });
+    sim.At(sim.now() + kDrain + sim.Draw(2000), [&sim, round] { sim.StartNode(round); });
+  });
+}
+
 TEST(FleetSchedule, EveryNodeIsKilledAtOnce) {
   PlayAll({}, [](FleetSim& sim, int round) {
     if (round != 0) return;
