--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -18,6 +18,24 @@
 constexpr Millis kRefusedPause{300};
 constexpr Millis kMalformedPause{2000};
 
+const char* RunEndName(RunEnd how) {
+  switch (how) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "its lease ran out";
+    case RunEnd::kBroken:
+      return "another member of its gang ended";
+    case RunEnd::kAlone:
+      return "the rest of its gang did not come";
+  }
+  return "ended";
+}
+
 }  // namespace
 
 BackendEntry* Dispatcher::Impl::FindBackend(const BackendId& id) {
@@ -129,9 +147,7 @@
   const bool current = task.backend == &backend && task.run == end.run;
   if (current && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   Report(DecisionKind::kTaskEnded, end.task.job, end.task.str(), backend.report.id, end.run,
-         end.how == RunEnd::kDone     ? "done"
-         : end.how == RunEnd::kFailed ? "failed"
-                                      : "ended");
+         RunEndName(end.how));
   if (ref.spec->lasting) {
     if (current) {
       Requeue(end.task, ref);
