Leave out answers to looks that an entry did not send

A late answer to a look of the earlier entry carried a higher number and made the entry deaf to its own looks until it had sent as many. New test IgnoresAnswersToLooksOfAForgottenEntry: red before (a task that had ended stayed on the books), green after.

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -408,6 +408,8 @@
   BackendEntry* backend = impl_->FindBackend(order.backend);
   if (backend == nullptr) return;
   if (answer.outcome == OrderOutcome::kFenced) impl_->fenced = true;
+  // Sent for an earlier entry of this id, which was forgotten since.
+  if (order.sequence > backend->look_sent) return;
   const bool newest = order.sequence == backend->look_sent;
   // A look that was repeated: what has been heard since says more than its end does.
   if (order.sequence <= backend->look_answered) return;
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -481,6 +481,25 @@
   LONGS_EQUAL(1, starts.size());
 }
 
+// An entry that was forgotten begins its looks anew; answers to the earlier ones say nothing.
+TEST(Dispatcher, IgnoresAnswersToLooksOfAForgottenEntry) {
+  AddBackend("b1");
+  Pass(200);
+  LookOrder old{BackendId("b1"), "", Epoch(1)};
+  old.sequence = 50;
+  dispatcher->RemoveBackend(BackendId("b1"), Now());
+  Pass(200);
+  AddBackend("b1");
+  Answer(old);
+  AddJob("j1", {Step(1, 1000)});
+  Pass(500);
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, dispatcher->Backends()[0].tasks);
+  End(starts[0], RunEnd::kDone);
+  Pass(500);
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+}
+
 // What an earlier owner may have started there counts against the team.
 TEST(Dispatcher, KeepsTheUpperLimitWhileRunsOfAnEarlierOwnerMayBeHidden) {
   Make(2);
