--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -277,6 +277,8 @@
     HttpClient::Settings settings;
     settings.idle_timeout = kIdleTimeout;
     settings.connect_timeout = kConnectTimeout;
+    settings.reset_on_close = true;
+    settings.now = BootTime;
     return settings;
   }
 
--- a/coordination/include/sapphirewheel/coordination/coordination.h
+++ b/coordination/include/sapphirewheel/coordination/coordination.h
@@ -24,6 +24,7 @@
 #include "sapphirewheel/coordination/maintenance_runner.h"
 #include "sapphirewheel/coordination/membership.h"
 #include "sapphirewheel/coordination/node_fencer.h"
+#include "sapphirewheel/coordination/order_permit.h"
 #include "sapphirewheel/coordination/peer_report.h"
 #include "sapphirewheel/coordination/policy_profile.h"
 #include "sapphirewheel/coordination/pool_autoscaler.h"
--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "sapphirewheel/coordination/dispatch_model.h"
+#include "sapphirewheel/coordination/order_permit.h"
 #include "sapphirewheel/state/error.h"
 #include "sapphirewheel/state/ids.h"
 #include "sapphirewheel/state/units.h"
@@ -83,12 +84,15 @@
   [[nodiscard]] bool MayAct(MonotonicTime now) const noexcept {
     return owner_ && now < valid_until_;
   }
+  // The permit of the present ownership; it ends with the lease, or with the ownership.
+  [[nodiscard]] const OrderPermit& permit() const noexcept { return permit_; }
   [[nodiscard]] Epoch token() const noexcept { return row_ ? row_->token : Epoch(); }
   [[nodiscard]] Revision revision() const noexcept { return revision_; }
   [[nodiscard]] const std::optional<OwnerRow>& row() const noexcept { return row_; }
 
  private:
   [[nodiscard]] MonotonicTime ClaimableAt(Millis store_delay) const;
+  void EndOwnership();
 
   Settings settings_;
   std::optional<OwnerRow> row_;
@@ -102,6 +106,7 @@
   MonotonicTime revision_seen_at_;
   MonotonicTime renewed_at_;
   MonotonicTime valid_until_;
+  OrderPermit permit_;
 };
 
 }  // namespace sapphirewheel
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -7,6 +7,7 @@
 
 #include "sapphirewheel/coordination/dispatch_model.h"
 #include "sapphirewheel/coordination/dispatcher.h"
+#include "sapphirewheel/coordination/order_permit.h"
 #include "sapphirewheel/state/error.h"
 #include "sapphirewheel/state/units.h"
 
@@ -89,14 +90,20 @@
                       RowsCallback done) = 0;
 };
 
-// Sends orders to backend servers.
+// Sends orders to backend servers. An order is not written after its permit has ended. One that has
+// no reply by then is aborted, so that nothing of it can arrive later from the sender's VM, and
+// ends as unknown.
 class BackendServers {
  public:
   virtual ~BackendServers() = default;
-  virtual void Start(const StartOrder& order, std::function<void(const OrderReply&)> done) = 0;
-  virtual void Stop(const StopOrder& order, std::function<void(const OrderReply&)> done) = 0;
-  virtual void Poll(const PollOrder& order, std::function<void(const PollReply&)> done) = 0;
-  virtual void Pace(const PaceOrder& order, std::function<void(const OrderReply&)> done) = 0;
+  virtual void Start(const StartOrder& order, const OrderPermit& permit,
+                     std::function<void(const OrderReply&)> done) = 0;
+  virtual void Stop(const StopOrder& order, const OrderPermit& permit,
+                    std::function<void(const OrderReply&)> done) = 0;
+  virtual void Poll(const PollOrder& order, const OrderPermit& permit,
+                    std::function<void(const PollReply&)> done) = 0;
+  virtual void Pace(const PaceOrder& order, const OrderPermit& permit,
+                    std::function<void(const OrderReply&)> done) = 0;
 };
 
 enum class VmOrderOutcome {
@@ -118,14 +125,15 @@
   std::vector<VmReport> vms;
 };
 
-// The platform's service that moves VMs between pools and maintains them.
+// The platform's service that moves VMs between pools and maintains them. Permits are observed as
+// by BackendServers.
 class VmService {
  public:
   virtual ~VmService() = default;
   virtual void List(std::function<void(const VmListReply&)> done) = 0;
-  virtual void Move(const VmId& vm, const PoolId& pool, Epoch token,
+  virtual void Move(const VmId& vm, const PoolId& pool, const OrderPermit& permit,
                     std::function<void(VmOrderOutcome)> done) = 0;
-  virtual void Maintain(const VmId& vm, std::int64_t wave, Epoch token,
+  virtual void Maintain(const VmId& vm, std::int64_t wave, const OrderPermit& permit,
                         std::function<void(VmOrderOutcome)> done) = 0;
 };
 
--- a/coordination/include/sapphirewheel/coordination/fwd.h
+++ b/coordination/include/sapphirewheel/coordination/fwd.h
@@ -30,6 +30,7 @@
 class Membership;
 enum class MoveReason;
 class NodeFencer;
+class OrderPermit;
 struct OwnershipCall;
 enum class OwnershipOutcome;
 struct OwnershipReply;
--- a/coordination/src/fleet_lease.cc
+++ b/coordination/src/fleet_lease.cc
@@ -41,7 +41,7 @@
   ever_observed_ = true;
   revision_ = revision;
   row_ = row;
-  if (owner_ && (!row_ || row_->holder != settings_.self || row_->released)) owner_ = false;
+  if (owner_ && (!row_ || row_->holder != settings_.self || row_->released)) EndOwnership();
 }
 
 MonotonicTime FleetLease::ClaimableAt(Millis store_delay) const {
@@ -85,7 +85,19 @@
   revision_seen_at_ = sent;
   renewed_at_ = sent;
   valid_until_ = sent + settings_.lease;
-  owner_ = !row.released;
+  if (row.released) {
+    EndOwnership();
+    return;
+  }
+  // Copies of an earlier permit of this node must not be prolonged.
+  if (!owner_) permit_ = OrderPermit(row.token, valid_until_);
+  owner_ = true;
+  permit_.SetEnd(valid_until_);
+}
+
+void FleetLease::EndOwnership() {
+  owner_ = false;
+  permit_.SetEnd(MonotonicTime());
 }
 
 void FleetLease::OnWriteFailed() {
@@ -94,7 +106,7 @@
 }
 
 void FleetLease::StepDown() {
-  owner_ = false;
+  EndOwnership();
   claiming_ = false;
   observed_ = false;
 }
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -86,9 +86,18 @@
   const auto [vm, pool] = pending_fences.back();
   pending_fences.pop_back();
   // A VM with long-running tasks is not moved, so it is still in this pool.
-  ports.vms->Move(vm, pool, lease.token(), Guard<VmOrderOutcome>([this](VmOrderOutcome outcome) {
-                    if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
-                  }));
+  ports.vms->Move(vm, pool, lease.permit(), OnVmOrder(nullptr));
+}
+
+std::function<void(VmOrderOutcome)> FleetOwner::Impl::OnVmOrder(
+    std::function<void(VmOrderOutcome)> handle_outcome) {
+  ++open_vm_orders;
+  return Guard<VmOrderOutcome>(
+      [this, handle_outcome = std::move(handle_outcome)](VmOrderOutcome outcome) {
+        --open_vm_orders;
+        if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
+        if (handle_outcome) handle_outcome(outcome);
+      });
 }
 
 Dispatcher::Hooks FleetOwner::Impl::DispatcherHooks() {
@@ -96,23 +105,26 @@
   hooks.wall_clock = ports.wall_clock;
   hooks.report = ports.on_decision;
   hooks.start = [this](const StartOrder& order) {
-    ports.backends.Start(order, Guard<const OrderReply&>([this, order](const OrderReply& it) {
+    ports.backends.Start(order, lease.permit(),
+                         Guard<const OrderReply&>([this, order](const OrderReply& it) {
                            dispatcher->OnStart(order, it, ports.now());
                          }));
   };
   hooks.stop = [this](const StopOrder& order) {
-    ports.backends.Stop(order, Guard<const OrderReply&>([this, order](const OrderReply& it) {
+    ports.backends.Stop(order, lease.permit(),
+                        Guard<const OrderReply&>([this, order](const OrderReply& it) {
                           dispatcher->OnStop(order, it, ports.now());
                         }));
   };
   hooks.poll = [this](const PollOrder& order) {
     const MonotonicTime sent = ports.now();
-    ports.backends.Poll(order, Guard<const PollReply&>([this, order, sent](const PollReply& it) {
+    ports.backends.Poll(order, lease.permit(),
+                        Guard<const PollReply&>([this, order, sent](const PollReply& it) {
                           dispatcher->OnPoll(order, it, sent, ports.now());
                         }));
   };
   hooks.pace = [this](const PaceOrder& order) {
-    ports.backends.Pace(order, [](const OrderReply&) {});
+    ports.backends.Pace(order, lease.permit(), [](const OrderReply&) {});
   };
   if (ports.advice != nullptr) {
     hooks.advise = [this](const AdviceOrder& order) {
@@ -127,10 +139,8 @@
 MaintenanceRunner::Hooks FleetOwner::Impl::MaintenanceHooks() {
   MaintenanceRunner::Hooks hooks;
   hooks.maintain = [this](const VmId& vm, std::int64_t wave) {
-    ports.vms->Maintain(vm, wave, lease.token(),
-                        Guard<VmOrderOutcome>([this, vm, wave](VmOrderOutcome outcome) {
-                          if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
-                          maintenance->OnMaintain(vm, wave, outcome, ports.now());
+    ports.vms->Maintain(vm, wave, lease.permit(), OnVmOrder([this, vm, wave](VmOrderOutcome it) {
+                          maintenance->OnMaintain(vm, wave, it, ports.now());
                         }));
   };
   hooks.evacuate = [this](const BackendId& id, bool on) { dispatcher->SetEvacuating(id, on); };
@@ -146,10 +156,8 @@
 PoolAutoscaler::Hooks FleetOwner::Impl::AutoscalerHooks() {
   PoolAutoscaler::Hooks hooks;
   hooks.move = [this](const VmId& vm, const PoolId& pool) {
-    ports.vms->Move(vm, pool, lease.token(),
-                    Guard<VmOrderOutcome>([this, vm](VmOrderOutcome outcome) {
-                      if (outcome == VmOrderOutcome::kFenced) lease.StepDown();
-                      autoscaler->OnMove(vm, outcome, ports.now());
+    ports.vms->Move(vm, pool, lease.permit(), OnVmOrder([this, vm](VmOrderOutcome it) {
+                      autoscaler->OnMove(vm, it, ports.now());
                     }));
   };
   hooks.evacuate = [this](const BackendId& id, bool on) { dispatcher->SetEvacuating(id, on); };
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -83,6 +83,9 @@
   void ReportEvent(NodeEvent event, const std::string& detail) const {
     if (ports.on_event) ports.on_event(event, detail);
   }
+  // Counts an order to a VM as open until its outcome is known, and steps down if it was fenced.
+  [[nodiscard]] std::function<void(VmOrderOutcome)> OnVmOrder(
+      std::function<void(VmOrderOutcome)> handle_outcome);
   Dispatcher::Hooks DispatcherHooks();
   MaintenanceRunner::Hooks MaintenanceHooks();
   PoolAutoscaler::Hooks AutoscalerHooks();
@@ -106,6 +109,9 @@
   std::unique_ptr<PoolAutoscaler> autoscaler;
   MonotonicTime next_autoscale;
   bool fences_queued = false;
+  // Orders to VMs without an outcome. The ownership is not released before it is 0, because the
+  // next owner may order the same VM at once.
+  int open_vm_orders = 0;
   // VMs for which the platform has yet to see this owner's fencing token.
   std::vector<std::pair<VmId, PoolId>> pending_fences;
   std::shared_ptr<const DispatchConfig> config;
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -28,7 +28,7 @@
   const bool renew = lease.RenewalDue(now) || commit_uncertain;
   const bool work = running && dispatcher->HasWrites();
   auto new_roster = running ? dispatcher->RosterToWrite() : std::nullopt;
-  const bool release = releasing && !work;
+  const bool release = releasing && !work && open_vm_orders == 0;
   if (!renew && !work && !new_roster && wave_rows.empty() && !release) return;
   RowTransaction tx;
   tx.expected.emplace_back(rows::Owner(), lease.revision());
--- a/coordination/tests/fleet_lease_test.cc
+++ b/coordination/tests/fleet_lease_test.cc
@@ -25,6 +25,50 @@
 
 TEST_GROUP(FleetLease){};
 
+// Guards against orders that outlive the ownership in which they were given: a permit moves with
+// the renewals of its ownership and ends with it, also when the same node takes the next one.
+TEST(FleetLease, PermitsOfAnOwnershipEndWithIt) {
+  FleetLease lease = NewLease("a#1");
+  CHECK(lease.permit().ends() <= At(0));
+  lease.Observe(std::nullopt, Revision(), At(10));
+  const auto claim = lease.Claim(At(10));
+  lease.OnWriteSucceeded(claim->row, Revision(5), At(10));
+  const OrderPermit first = lease.permit();
+  CHECK(first.token() == Epoch(1));
+  CHECK(first.ends() == At(2010));
+  lease.OnWriteSucceeded(*lease.row(), Revision(6), At(600));
+  CHECK(first.ends() == At(2600));
+  lease.StepDown();
+  CHECK(first.ends() <= At(0));
+  lease.Observe(Row("b#1", 2), Revision(9), At(700));
+  const auto next = lease.Claim(At(9000));
+  CHECK(next.has_value());
+  lease.OnWriteSucceeded(next->row, Revision(12), At(9000));
+  CHECK(lease.permit().token() == Epoch(3));
+  CHECK(lease.permit().ends() == At(11000));
+  CHECK(first.ends() <= At(0));
+}
+
+// Guards against orders that are still under way when the ownership is given back.
+TEST(FleetLease, PermitsEndWithARelease) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(std::nullopt, Revision(), At(10));
+  lease.OnWriteSucceeded(lease.Claim(At(10))->row, Revision(5), At(10));
+  const OrderPermit permit = lease.permit();
+  lease.OnWriteSucceeded(lease.Release().row, Revision(6), At(200));
+  CHECK(permit.ends() <= At(0));
+}
+
+// Guards against a permit that outlives an ownership that another node has taken.
+TEST(FleetLease, PermitsEndWhenAnotherHolderIsSeen) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(std::nullopt, Revision(), At(10));
+  lease.OnWriteSucceeded(lease.Claim(At(10))->row, Revision(5), At(10));
+  const OrderPermit permit = lease.permit();
+  lease.Observe(Row("b#1", 2), Revision(9), At(300));
+  CHECK(permit.ends() <= At(0));
+}
+
 TEST(FleetLease, TakesAnAbsentRowAtOnceAndActsForTheLease) {
   FleetLease lease = NewLease("a#1");
   CHECK_FALSE(lease.Claim(At(0)).has_value());
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -220,6 +220,13 @@
   }
 }
 
+void FleetSim::CheckPermit(const OrderPermit& permit, Epoch token) {
+  if (permit.token() == token && MonotonicTime(Millis(now_)) < permit.ends()) return;
+  Violate("an order of token " + std::to_string(token.count()) + " has a permit of token " +
+          std::to_string(permit.token().count()) + " that ends at " +
+          std::to_string(permit.ends().time_since_epoch().count()));
+}
+
 void FleetSim::DropHistory() {
   log_start_ = revision_;
   log_.clear();
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -162,6 +162,8 @@
   void CheckStart(const Backend& backend, const StartOrder& order);
   // Checks that an owner sends no orders after its lease, counted from its last written renewal.
   void CheckLease(Epoch token);
+  // The permit of an order must be that of its ownership, and must not have ended.
+  void CheckPermit(const OrderPermit& permit, Epoch token);
   void RegisterBackend(Backend& backend);
   void ForgetUnacknowledged(Backend& backend);
   void Submit(const JobId& id, const std::string& path, const std::string& body, int retries);
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -171,18 +171,25 @@
  public:
   SimBackends(FleetSim& sim, int node, int incarnation) : SimProcess(sim, node, incarnation) {}
 
-  void Start(const StartOrder& order, std::function<void(const OrderReply&)> done) override {
+  void Start(const StartOrder& order, const OrderPermit& permit,
+             std::function<void(const OrderReply&)> done) override {
     sim_.CheckLease(order.token);
+    sim_.CheckPermit(permit, order.token);
     Send(order.backend, done,
          [this, order](FleetSim::Backend& it) { return sim_.Start(it, order); });
   }
-  void Stop(const StopOrder& order, std::function<void(const OrderReply&)> done) override {
+  void Stop(const StopOrder& order, const OrderPermit& permit,
+            std::function<void(const OrderReply&)> done) override {
     sim_.CheckLease(order.token);
+    sim_.CheckPermit(permit, order.token);
     Send(order.backend, done,
          [this, order](FleetSim::Backend& it) { return sim_.Stop(it, order); });
   }
-  void Pace(const PaceOrder&, std::function<void(const OrderReply&)>) override {}
-  void Poll(const PollOrder& order, std::function<void(const PollReply&)> done) override {
+  void Pace(const PaceOrder&, const OrderPermit&, std::function<void(const OrderReply&)>) override {
+  }
+  void Poll(const PollOrder& order, const OrderPermit& permit,
+            std::function<void(const PollReply&)> done) override {
+    sim_.CheckPermit(permit, order.token);
     constexpr std::int64_t kTimeout = 900;
     auto answered = std::make_shared<bool>(false);
     const std::int64_t timeout = order.wait.count() + kTimeout;
--- a/transport/include/sapphirewheel/transport/http_client.h
+++ b/transport/include/sapphirewheel/transport/http_client.h
@@ -34,6 +34,10 @@
   // Time limit of the whole call, from the wait for a connection to the last byte of the response.
   Millis deadline{5000};
   ConnectionReuse reuse = ConnectionReuse::kAny;
+  // For an order whose sender's right to give it ends: the end, by Settings::now. It is asked again
+  // while the call is in progress. The request is not written after the end, and a call without a
+  // response by then is aborted. Called on the client's thread.
+  std::function<MonotonicTime()> valid_until;
 };
 
 enum class HttpOutcome {
@@ -69,6 +73,11 @@
     // Idle time up to which a connection counts as recently used.
     Millis recent_use_limit{500};
     std::size_t max_response_bytes = 64UL * 1024 * 1024;
+    // Resets connections instead of closing them in order, also when the process ends: bytes that
+    // the peer has not received are dropped and cannot arrive after the call has ended.
+    bool reset_on_close = false;
+    // The clock of HttpCall::valid_until; required for calls that set it.
+    std::function<MonotonicTime()> now;
     // When set, all connections are tunnelled through this proxy by HTTP CONNECT.
     std::optional<Endpoint> proxy;
   };
--- a/transport/src/connection_pool.h
+++ b/transport/src/connection_pool.h
@@ -18,6 +18,8 @@
   Tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::chrono::steady_clock::time_point last_used;
+  // Time after which the kernel gives up on unacknowledged bytes; 0 for its default.
+  std::chrono::milliseconds unacknowledged_limit{0};
 };
 
 // The idle connections to each host. Used on the client's thread only. A call first acquires a
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -1,5 +1,9 @@
 #include "sapphirewheel/transport/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -8,6 +12,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -71,14 +76,39 @@
   return result;
 }
 
-SystemError OpenSocket(Tcp::socket& socket, const Endpoint& endpoint, Tcp::endpoint& address) {
+// Sets the option without Asio, whose destructor of a socket would undo it.
+SystemError ResetOnClose(Tcp::socket& socket) {
+  const linger abort{1, 0};
+  const int failed =
+      ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  return failed == 0 ? SystemError() : SystemError(errno, boost::system::system_category());
+}
+
+SystemError OpenSocket(Tcp::socket& socket, const Endpoint& endpoint, bool reset_on_close,
+                       Tcp::endpoint& address) {
   SystemError ec;
   address = Tcp::endpoint(asio::ip::make_address(endpoint.address, ec), endpoint.port);
   if (!ec) socket.open(address.protocol(), ec);
   if (!ec) socket.set_option(Tcp::no_delay(true), ec);
+  if (!ec && reset_on_close) ec = ResetOnClose(socket);
   return ec;
 }
 
+// Lets the kernel give up on bytes that the peer has not acknowledged when the right to send them
+// ends, even while this process is paused. Set only when the limit changes by a step, because each
+// call costs a system call.
+SystemError LimitUnacknowledged(PooledConnection& connection, Millis limit) {
+  constexpr Millis kStep{500};
+  const Millis rounded = limit > kStep ? limit / kStep * kStep : limit;
+  if (connection.unacknowledged_limit == rounded) return {};
+  const unsigned int ms = static_cast<unsigned int>(rounded.count());
+  const int failed = ::setsockopt(connection.socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                  &ms, sizeof(ms));
+  if (failed != 0) return {errno, boost::system::system_category()};
+  connection.unacknowledged_limit = rounded;
+  return {};
+}
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -194,7 +224,11 @@
   if (IsWellFormed(call)) {
     OperationDeadline deadline(context.get_executor());
     active.insert(&deadline);
-    deadline.Arm(call.deadline);
+    const auto ends = std::chrono::steady_clock::now() + call.deadline;
+    deadline.ArmWhile([this, &call, ends] {
+      const auto left = std::chrono::ceil<Millis>(ends - std::chrono::steady_clock::now());
+      return call.valid_until ? std::min(left, call.valid_until() - settings.now()) : left;
+    });
     // Stop() may have been called since the call was posted.
     if (stopping) deadline.Expire();
     result = co_await AcquireAndRun(call, deadline);
@@ -254,7 +288,7 @@
                                             OperationDeadline& deadline) {
   const Endpoint& next = settings.proxy ? *settings.proxy : endpoint;
   Tcp::endpoint address;
-  SystemError ec = OpenSocket(connection.socket, next, address);
+  SystemError ec = OpenSocket(connection.socket, next, settings.reset_on_close, address);
   if (!ec && deadline.expired()) ec = asio::error::timed_out;
   if (!ec) {
     deadline.SetCancel([&connection] {
@@ -297,6 +331,17 @@
     SystemError ignored;
     connection.socket.cancel(ignored);
   });
+  if (call.valid_until) {
+    const Millis left = call.valid_until() - settings.now();
+    SystemError limited;
+    if (left > Millis(0)) limited = LimitUnacknowledged(connection, left);
+    if (left <= Millis(0) || limited) {
+      deadline.Expire();
+      deadline.SetCancel(nullptr);
+      co_return NotSent(limited ? "limiting the connection failed: " + limited.message()
+                                : "the right to give the order has ended");
+    }
+  }
   std::size_t written = 0;
   const std::string head = EncodeHead(call);
   const SystemError ec = co_await WriteAll(connection.socket, head, call.body, written, deadline);
--- a/transport/src/socket_io.cc
+++ b/transport/src/socket_io.cc
@@ -17,17 +17,39 @@
 OperationDeadline::OperationDeadline(const asio::any_io_executor& executor)
     : state_(std::make_shared<State>()), timer_(executor) {}
 
-OperationDeadline::~OperationDeadline() { state_->cancel = nullptr; }
+OperationDeadline::~OperationDeadline() {
+  state_->cancel = nullptr;
+  state_->timer = nullptr;
+}
 
 void OperationDeadline::Arm(std::chrono::milliseconds limit) {
+  const auto ends = std::chrono::steady_clock::now() + limit;
+  ArmWhile([ends] {
+    return std::chrono::ceil<std::chrono::milliseconds>(ends - std::chrono::steady_clock::now());
+  });
+}
+
+void OperationDeadline::ArmWhile(std::function<std::chrono::milliseconds()> left) {
   // The new state makes a completion of the previous timer that is already queued ineffective.
   auto state = std::make_shared<State>();
   state->cancel = std::move(state_->cancel);
+  state->left = std::move(left);
+  state->timer = &timer_;
   state_->cancel = nullptr;
+  state_->timer = nullptr;
   state_ = state;
-  timer_.expires_after(limit);
-  timer_.async_wait([state](const SystemError& ec) {
-    if (ec) return;
+  const std::chrono::milliseconds first = state->left();
+  Wait(state, first);
+}
+
+void OperationDeadline::Wait(const std::shared_ptr<State>& state, std::chrono::milliseconds limit) {
+  state->timer->expires_after(limit);
+  state->timer->async_wait([state](const SystemError& ec) {
+    if (ec || state->timer == nullptr) return;
+    if (const auto left = state->left(); left.count() > 0) {
+      Wait(state, left);
+      return;
+    }
     state->expired = true;
     if (state->cancel) state->cancel();
   });
--- a/transport/src/socket_io.h
+++ b/transport/src/socket_io.h
@@ -36,6 +36,9 @@
 
   // Restarts the time limit.
   void Arm(std::chrono::milliseconds limit);
+  // Restarts the time limit as the time that `left` returns, which is asked again when that has
+  // passed; it expires when nothing is left.
+  void ArmWhile(std::function<std::chrono::milliseconds()> left);
   // Sets the function that cancels the pending operation.
   void SetCancel(std::function<void()> cancel);
   // Expires the time limit now.
@@ -45,8 +48,12 @@
  private:
   struct State {
     std::function<void()> cancel;
+    std::function<std::chrono::milliseconds()> left;
+    // Null when another state or nothing uses the timer.
+    boost::asio::steady_timer* timer = nullptr;
     bool expired = false;
   };
+  static void Wait(const std::shared_ptr<State>& state, std::chrono::milliseconds limit);
   std::shared_ptr<State> state_;
   boost::asio::steady_timer timer_;
 };
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -1,5 +1,7 @@
 #include "sapphirewheel/transport/http_client.h"
 
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -18,6 +20,7 @@
 using sapphirewheel::HttpResponseText;
 using sapphirewheel::HttpResult;
 using sapphirewheel::Millis;
+using sapphirewheel::MonotonicTime;
 using sapphirewheel::TestSocket;
 using sapphirewheel::WaitFor;
 
@@ -48,6 +51,33 @@
 
 HttpClient::Settings Defaults() { return {}; }
 
+// A clock that the test sets, and settings for orders that observe it.
+class OrderClock {
+ public:
+  HttpClient::Settings Settings() {
+    HttpClient::Settings settings;
+    settings.reset_on_close = true;
+    settings.now = [this] { return now(); };
+    return settings;
+  }
+  [[nodiscard]] MonotonicTime now() const {
+    const auto passed = std::chrono::steady_clock::now() - start_;
+    return MonotonicTime(std::chrono::duration_cast<Millis>(passed) + Millis(skipped_));
+  }
+  // Lets time pass that the steady clock does not count, as in a suspension.
+  void Skip(Millis time) { skipped_ += time.count(); }
+
+ private:
+  const std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+  std::atomic<std::int64_t> skipped_ = 1000;
+};
+
+HttpCall Order(const Endpoint& to, MonotonicTime valid_until) {
+  HttpCall call = Post(to);
+  call.valid_until = [valid_until] { return valid_until; };
+  return call;
+}
+
 }  // namespace
 
 // clang-format off
@@ -111,6 +141,72 @@
   CHECK_TRUE(Run(client, call).outcome == HttpOutcome::kIncomplete);
 }
 
+// Guards against an order that arrives after the right to give it has ended: closing the connection
+// in order would let the kernel deliver it later.
+TEST(HttpClient, ResetsTheConnectionWhenTheRightToGiveAnOrderEnds) {
+  Awaited<bool> reset;
+  FakeServer server([&](TestSocket& socket, int) {
+    (void)socket.ReadMessage();
+    reset.Set(socket.AwaitReset());
+  });
+  OrderClock clock;
+  HttpClient client(clock.Settings());
+  const HttpResult result = Run(client, Order(server.endpoint(), clock.now() + Millis(100)));
+  CHECK_TRUE(result.outcome == HttpOutcome::kIncomplete);
+  CHECK_TRUE(reset.Get() == true);
+}
+
+// Guards against an order that is written after the right to give it has ended, on a new connection
+// and on one of the pool.
+TEST(HttpClient, WritesNoOrderAfterTheRightToGiveItHasEnded) {
+  FakeServer server(EchoBodies);
+  OrderClock clock;
+  HttpClient client(clock.Settings());
+  CHECK_TRUE(Run(client, Order(server.endpoint(), clock.now())).outcome == HttpOutcome::kNotSent);
+  CHECK_TRUE(Run(client, Post(server.endpoint())).outcome == HttpOutcome::kComplete);
+  // A suspension, which the timers do not count, ends the right before the order is written.
+  const MonotonicTime ends = clock.now() + Millis(5000);
+  clock.Skip(Millis(6000));
+  CHECK_TRUE(Run(client, Order(server.endpoint(), ends)).outcome == HttpOutcome::kNotSent);
+}
+
+// Guards against an order that is aborted although the right to give it was prolonged meanwhile.
+TEST(HttpClient, WaitsOnForAnOrderWhoseRightIsProlonged) {
+  Awaited<bool> prolonged;
+  FakeServer server([&](TestSocket& socket, int) {
+    (void)socket.ReadMessage();
+    (void)prolonged.Get();
+    socket.Send(HttpResponseText(200, "done"));
+  });
+  OrderClock clock;
+  HttpClient client(clock.Settings());
+  HttpCall call = Post(server.endpoint());
+  const MonotonicTime first = clock.now() + Millis(100);
+  std::atomic<int> asked = 0;
+  call.valid_until = [&] {
+    // The first end is replaced when it is reached.
+    if (clock.now() < first) return first;
+    if (asked++ == 0) prolonged.Set(true);
+    return first + Millis(10'000);
+  };
+  CHECK_TRUE(Run(client, call).outcome == HttpOutcome::kComplete);
+}
+
+// Guards against bytes that the kernel still delivers after the process has ended.
+TEST(HttpClient, ResetsConnectionsWhenItIsStopped) {
+  Awaited<bool> reset;
+  FakeServer server([&](TestSocket& socket, int) {
+    socket.Send(HttpResponseText(200, socket.ReadMessage()));
+    reset.Set(socket.AwaitReset());
+  });
+  OrderClock clock;
+  {
+    HttpClient client(clock.Settings());
+    CHECK_TRUE(Run(client, Post(server.endpoint())).outcome == HttpOutcome::kComplete);
+  }
+  CHECK_TRUE(reset.Get() == true);
+}
+
 // Guards against a connect timeout that also cancels a long call on the new connection.
 TEST(HttpClient, WaitsLongerForResponsesThanForConnections) {
   HttpClient::Settings settings;
--- a/transport/tests/test_support.cc
+++ b/transport/tests/test_support.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <memory>
 
 // The header of the leak check needs the types of TestHarness.h.
@@ -93,6 +94,14 @@
   return std::exchange(input_, "");
 }
 
+bool TestSocket::AwaitReset() {
+  char bytes[16384];
+  ssize_t n = 0;
+  while ((n = ::recv(fd_, bytes, sizeof(bytes), 0)) > 0) {
+  }
+  return n < 0 && errno == ECONNRESET;
+}
+
 void TestSocket::Close() {
   if (fd_ >= 0) ::close(fd_);
   fd_ = -1;
--- a/transport/tests/test_support.h
+++ b/transport/tests/test_support.h
@@ -40,6 +40,9 @@
   std::string ReadMessage();
   // Reads everything that arrives until the peer closes.
   std::string ReadAll();
+  // Reads until the peer ends the connection; true if it was reset, so that what the peer had sent
+  // and this side had not received is lost.
+  [[nodiscard]] bool AwaitReset();
   void Close();
   // Resets the connection, so that the peer's pending reads and writes fail.
   void Reset();
