--- a/apps/daemon/src/deployed_metrics.cc
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -93,15 +93,12 @@
   });
 }
 
-void MeteredRowStore::Read(const std::string& table, const std::string& part,
-                           const std::string& from, const std::string& to, Millis timeout,
-                           RowsCallback done) {
+void MeteredRowStore::Read(const RowRange& range, Millis timeout, RowsCallback done) {
   const auto start = SteadyClock::now();
-  next_.Read(table, part, from, to, timeout,
-             [this, start, done = std::move(done)](const RowsReply& it) {
-               metrics_.ObserveStoreCall("read", it.outcome, SecondsSince(start));
-               done(it);
-             });
+  next_.Read(range, timeout, [this, start, done = std::move(done)](const RowsReply& it) {
+    metrics_.ObserveStoreCall("read", it.outcome, SecondsSince(start));
+    done(it);
+  });
 }
 
 void MeteredRowStore::ListParts(const std::string& table, const std::string& after, Millis timeout,
--- a/apps/daemon/src/deployed_metrics.h
+++ b/apps/daemon/src/deployed_metrics.h
@@ -35,8 +35,7 @@
   MeteredRowStore(RowStore& next, DeployedMetrics& metrics) : next_(next), metrics_(metrics) {}
 
   void Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) override;
-  void Read(const std::string& table, const std::string& part, const std::string& from,
-            const std::string& to, Millis timeout, RowsCallback done) override;
+  void Read(const RowRange& range, Millis timeout, RowsCallback done) override;
   void ListParts(const std::string& table, const std::string& after, Millis timeout,
                  PartsCallback done) override;
   // Not measured: its duration is mostly the wait that was asked for.
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -260,6 +260,11 @@
   [[nodiscard]] std::vector<BackendView> Backends() const;
 
   // Jobs that ended at least `age` ago and whose end has been written.
+  // Takes note of a job that has ended and whose row was removed.
+  void AddEnded(const JobId& id, const JobProgress& progress, MonotonicTime now);
+  // Jobs whose end was written at least `age` ago and whose row is no longer needed; each is
+  // returned once.
+  [[nodiscard]] std::vector<JobId> TakeRemovable(Millis age, MonotonicTime now);
   [[nodiscard]] std::vector<JobId> Expired(Millis age, MonotonicTime now) const;
   void Forget(const JobId& id);
 
--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -21,6 +21,8 @@
   bool released = false;
   // Time of day at which the holder's process started.
   UnixMillis started;
+  // Number of owners in a row, up to this one, that have not loaded the stored state.
+  int loads_failed = 0;
 
   [[nodiscard]] std::string Encode() const;
   // Errors: kInvalidArgument.
@@ -76,6 +78,10 @@
   // A claim or renewal was refused or its outcome is unknown. The row has to be read again before
   // the next claim.
   void OnWriteFailed();
+  // The owner has loaded the stored state; its next renewal says so.
+  void MarkLoaded();
+  // This node claims nothing before `until`.
+  void BackOff(MonotonicTime until) { back_off_until_ = until; }
   // Another owner was detected; this node stops acting as owner.
   void StepDown();
 
@@ -106,6 +112,7 @@
   MonotonicTime revision_seen_at_;
   MonotonicTime renewed_at_;
   MonotonicTime valid_until_;
+  MonotonicTime back_off_until_;
   OrderPermit permit_;
 };
 
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -35,6 +35,17 @@
   bool removed = false;
 };
 
+// Rows of one part of a table with keys from `from` (inclusive) to `to` (exclusive; empty for no
+// bound).
+struct RowRange {
+  std::string table;
+  std::string part;
+  std::string from;
+  std::string to;
+  // Maximum number of rows in the reply; 0 for the table service's own limit.
+  int limit = 0;
+};
+
 enum class StoreOutcome {
   kDone,
   // A row has a different revision than expected; nothing was written.
@@ -78,10 +89,8 @@
 
   // Commits a transaction atomically. At most 100 entries.
   virtual void Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) = 0;
-  // Reads the rows of one part with keys from `from` (inclusive) to `to` (exclusive; empty for no
-  // bound).
-  virtual void Read(const std::string& table, const std::string& part, const std::string& from,
-                    const std::string& to, Millis timeout, RowsCallback done) = 0;
+  // Reads the rows of a range in the order of their keys.
+  virtual void Read(const RowRange& range, Millis timeout, RowsCallback done) = 0;
   // Lists the parts of a table after `after`.
   virtual void ListParts(const std::string& table, const std::string& after, Millis timeout,
                          PartsCallback done) = 0;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -143,7 +143,10 @@
     if (it == impl_->jobs.end()) continue;
     JobEntry& job = *it->second;
     if (written) {
-      if (!job.IsOpen() && job.dirty_since == 0) job.end_written = true;
+      if (!job.IsOpen() && job.dirty_since == 0 && !job.end_written) {
+        job.end_written = true;
+        impl_->removable.emplace_back(impl_->now_, id);
+      }
       continue;
     }
     if (job.dirty_since != 0) impl_->dirty.erase(job.dirty_since);
@@ -203,6 +206,28 @@
   return views;
 }
 
+void Dispatcher::AddEnded(const JobId& id, const JobProgress& progress, MonotonicTime now) {
+  impl_->now_ = now;
+  auto& slot = impl_->jobs[id];
+  if (slot) return;
+  slot = std::make_unique<JobEntry>();
+  slot->stored.id = id;
+  slot->progress = progress;
+  slot->inherited = true;
+  slot->end_written = true;
+  slot->ended_at = now;
+}
+
+std::vector<JobId> Dispatcher::TakeRemovable(Millis age, MonotonicTime now) {
+  std::vector<JobId> ids;
+  auto& removable = impl_->removable;
+  while (!removable.empty() && removable.front().first + age <= now) {
+    ids.push_back(removable.front().second);
+    removable.pop_front();
+  }
+  return ids;
+}
+
 std::vector<JobId> Dispatcher::Expired(Millis age, MonotonicTime now) const {
   std::vector<JobId> expired;
   for (const auto& [id, job] : impl_->jobs) {
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -81,6 +81,7 @@
   if (!job.IsOpen()) {
     job.end_written = true;
     job.ended_at = now_;
+    removable.emplace_back(now_, id);
     return;
   }
   if (job.stored.cancelled) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -309,6 +309,8 @@
   std::map<std::uint64_t, JobId> dirty;
   // The batch that is being written.
   std::map<std::uint64_t, JobId> writing;
+  // Jobs whose end has been written, with the time of that, until TakeRemovable returns them.
+  std::deque<std::pair<MonotonicTime, JobId>> removable;
   bool fenced = false;
   // The advice service accepts one call per node at a time.
   bool advice_in_flight = false;
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -161,7 +161,7 @@
 
 void EntryNode::Impl::ReadRow(const PendingCallRef& call, const RowAddress& at,
                               const std::function<void(const StoredRow*)>& handle_row) {
-  ports.store.Read(at.table, at.part, at.key, at.key + kAboveKey,
+  ports.store.Read({at.table, at.part, at.key, at.key + kAboveKey},
                    std::min(kStoreTimeout, Remaining(*call)),
                    Guard<const RowsReply&>([this, call, at, handle_row](const RowsReply& reply) {
                      if (reply.outcome == StoreOutcome::kDone) {
@@ -210,7 +210,7 @@
 void EntryNode::Impl::Cancel(const PendingCallRef& call) {
   ReadRow(call, rows::Job(call->job), [this, call](const StoredRow* row) {
     if (row == nullptr) {
-      call->respond(ReplyOfKind(CallerReply::Kind::kGone));
+      CancelEnded(call);
       return;
     }
     auto job = DecodeStoredJob(call->job, row->value);
@@ -228,6 +228,15 @@
   });
 }
 
+// For a job without a row: either it has ended, so that nothing is left to cancel, or it is
+// unknown.
+void EntryNode::Impl::CancelEnded(const PendingCallRef& call) {
+  ReadRow(call, rows::Progress(call->job), [call](const StoredRow* row) {
+    call->respond(
+        ReplyOfKind(row == nullptr ? CallerReply::Kind::kGone : CallerReply::Kind::kCancelled));
+  });
+}
+
 void EntryNode::Impl::WriteCancel(const PendingCallRef& call, Revision revision) {
   RowTransaction tx;
   tx.expected.emplace_back(rows::Job(call->job), revision);
@@ -262,7 +271,7 @@
     return;
   }
   const RowAddress at = rows::Owned(rows::kWaiting);
-  ports.store.Read(at.table, at.part, at.key, at.key + kAboveKey,
+  ports.store.Read({at.table, at.part, at.key, at.key + kAboveKey},
                    std::min(kStoreTimeout, reply_by - now),
                    Guard<const RowsReply&>([this, queue, path, respond](const RowsReply& reply) {
                      const StoredRow* row = FindRow(reply, rows::kWaiting);
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -58,6 +58,7 @@
   void ReadState(const PendingCallRef& call);
   void ReadJob(const PendingCallRef& call);
   void Cancel(const PendingCallRef& call);
+  void CancelEnded(const PendingCallRef& call);
   void WriteCancel(const PendingCallRef& call, Revision revision);
   void ReadWaiting(const QueueId& queue, const std::string& path, const Respond& respond,
                    MonotonicTime reply_by);
--- a/coordination/src/fleet_lease.cc
+++ b/coordination/src/fleet_lease.cc
@@ -1,5 +1,6 @@
 #include "sapphirewheel/coordination/fleet_lease.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "sapphirewheel/state/json.h"
@@ -18,6 +19,7 @@
   row["token"] = static_cast<std::int64_t>(token.count());
   row["started"] = started.count();
   if (released) row["released"] = true;
+  if (loads_failed != 0) row["loads_failed"] = loads_failed;
   return boost::json::serialize(row);
 }
 
@@ -31,6 +33,9 @@
   row.token = Epoch(static_cast<std::uint64_t>(token));
   row.released = BoolField(object, "released");
   row.started = UnixMillis(IntField(object, "started"));
+  constexpr std::int64_t kMaxLoadsFailed = 1000;
+  const std::int64_t loads_failed = IntField(object, "loads_failed");
+  row.loads_failed = static_cast<int>(std::clamp<std::int64_t>(loads_failed, 0, kMaxLoadsFailed));
   return row;
 }
 
@@ -60,10 +65,15 @@
 }
 
 std::optional<FleetLease::Write> FleetLease::Claim(MonotonicTime now, Millis store_delay) {
-  if (!observed_ || owner_ || claiming_ || now < ClaimableAt(store_delay)) return std::nullopt;
+  if (!observed_ || owner_ || claiming_ || now < back_off_until_ ||
+      now < ClaimableAt(store_delay)) {
+    return std::nullopt;
+  }
   claiming_ = true;
   const std::uint64_t token = row_ ? row_->token.count() + 1 : 1;
-  return Write{OwnerRow{settings_.self, Epoch(token), false, settings_.started}, revision_};
+  const int loads_failed = (row_ ? row_->loads_failed : 0) + 1;
+  return Write{OwnerRow{settings_.self, Epoch(token), false, settings_.started, loads_failed},
+               revision_};
 }
 
 bool FleetLease::RenewalDue(MonotonicTime now) const {
@@ -105,6 +115,10 @@
   observed_ = observed_ && owner_;
 }
 
+void FleetLease::MarkLoaded() {
+  if (row_) row_->loads_failed = 0;
+}
+
 void FleetLease::StepDown() {
   EndOwnership();
   claiming_ = false;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -16,6 +16,11 @@
 constexpr Millis kVmListInterval{700};
 // Interval of evaluating the demand of pools; a move takes many times as long.
 constexpr Millis kAutoscaleInterval{100};
+// Time in which an owner has to load the stored state; longer for each owner in a row that did not,
+// so that a load that is slow on every node succeeds in the end.
+constexpr Millis kLoadTime{4000};
+// Time for which a node that gave the ownership back unloaded claims nothing.
+constexpr Millis kLoadBackOff{8000};
 
 }  // namespace
 
@@ -170,6 +175,12 @@
   RunScheduled(now);
   if (!running) {
     if (!loading && now >= retry_load) Load();
+    if (!releasing && now - taken_at > kLoadTime * lease.row()->loads_failed) {
+      ReportEvent(NodeEvent::kOwnershipLost,
+                  "not loaded in " + std::to_string((now - taken_at).count()) + " ms; given back");
+      releasing = true;
+      lease.BackOff(now + kLoadBackOff);
+    }
     Commit();
     return;
   }
@@ -204,7 +215,10 @@
     }
     WriteWaveStatus();
   }
-  if (may_order) RemoveExpiredJobs();
+  if (may_order) {
+    RemoveEndedJobs();
+    RemoveExpiredJobs();
+  }
   Commit();
 }
 
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -16,7 +16,7 @@
 // then the rest in parallel, because each reply of a slow store takes long.
 void FleetOwner::Impl::Load() {
   loading = true;
-  ports.store.Read(rows::kOwned, rows::kOwnerPart, "", "", kStoreTimeout,
+  ports.store.Read({.table = rows::kOwned, .part = rows::kOwnerPart}, kStoreTimeout,
                    OnRows([this](const RowsReply& reply) {
                      if (reply.outcome != StoreOutcome::kDone) {
                        loading = false;
@@ -92,20 +92,44 @@
 void FleetOwner::Impl::ReadPart(const std::string& table, const std::string& part,
                                 const std::string& from, const CompletionGuardRef& completion,
                                 const RowHandler& handle_row) {
+  waiting_reads.emplace_back([this, table, part, from, completion, handle_row] {
+    ReadPage(table, part, from, completion, handle_row);
+  });
+  RunWaitingReads();
+}
+
+void FleetOwner::Impl::RunWaitingReads() {
+  while (!waiting_reads.empty() && open_reads < read_pacer.reads()) {
+    const auto read = std::move(waiting_reads.front());
+    waiting_reads.pop_front();
+    ++open_reads;
+    read();
+  }
+}
+
+void FleetOwner::Impl::ReadPage(const std::string& table, const std::string& part,
+                                const std::string& from, const CompletionGuardRef& completion,
+                                const RowHandler& handle_row) {
+  const MonotonicTime sent = ports.now();
   ports.store.Read(
-      table, part, from, "", kStoreTimeout,
-      OnRows([this, table, part, from, completion, handle_row](const RowsReply& reply) {
+      {table, part, from, "", read_pacer.rows()}, kStoreTimeout,
+      OnRows([this, table, part, from, completion, handle_row, sent](const RowsReply& reply) {
+        --open_reads;
+        const Millis took = ports.now() - sent;
         if (reply.outcome != StoreOutcome::kDone) {
+          if (took >= kStoreTimeout) read_pacer.OnTimeout();
           ScheduleAfter(kStoreRetryDelay, [this, table, part, from, completion, handle_row] {
             ReadPart(table, part, from, completion, handle_row);
           });
           return;
         }
+        read_pacer.OnPage(took);
         for (const StoredRow& row : reply.rows) handle_row(row);
         if (reply.more && !reply.rows.empty()) {
           // Continues from the smallest key above the last one.
           ReadPart(table, part, reply.rows.back().at.key + '\0', completion, handle_row);
         }
+        RunWaitingReads();
       }));
 }
 
@@ -155,9 +179,15 @@
   if (config) dispatcher->SetConfig(config);
   for (const StoredRow& row : loaded_backends) ApplyBackendRow(row);
   for (const StoredRow& row : loaded_jobs) ApplyJobRow(row, true);
+  // The rows of ended jobs are removed before their progress.
+  for (const auto& [id, progress] : loaded_progress) {
+    if (progress.outcome != JobOutcome::kOpen) dispatcher->AddEnded(id, progress, now);
+  }
+  lease.MarkLoaded();
   ReportEvent(NodeEvent::kLoaded, "jobs=" + std::to_string(loaded_jobs.size()) +
                                       " backends=" + std::to_string(loaded_backends.size()) +
-                                      " roster=" + std::to_string(roster.size()));
+                                      " roster=" + std::to_string(roster.size()) + " took " +
+                                      std::to_string((now - taken_at).count()) + " ms");
   loaded_jobs.clear();
   loaded_backends.clear();
   maintenance = std::make_unique<MaintenanceRunner>(MaintenanceHooks(), settings.maintenance_time);
@@ -217,7 +247,7 @@
                               const std::function<void(const CompletionGuardRef&)>& read,
                               const std::function<void()>& done) {
   feed.in_flight = true;
-  ports.store.Read(rows::kOwned, rows::kOwnerPart, rows::kRoster, "", kStoreTimeout,
+  ports.store.Read({rows::kOwned, rows::kOwnerPart, rows::kRoster, ""}, kStoreTimeout,
                    OnRows([this, &feed, read, done](const RowsReply& reply) {
                      if (reply.outcome != StoreOutcome::kDone) {
                        ScheduleAfter(kStoreRetryDelay,
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "read_pacer.h"
 #include "sapphirewheel/coordination/fleet_owner.h"
 #include "store_timeouts.h"
 
@@ -52,6 +54,9 @@
   void LoadTables();
   void ReadPart(const std::string& table, const std::string& part, const std::string& from,
                 const CompletionGuardRef& completion, const RowHandler& handle_row);
+  void ReadPage(const std::string& table, const std::string& part, const std::string& from,
+                const CompletionGuardRef& completion, const RowHandler& handle_row);
+  void RunWaitingReads();
   void ReadJobs(const std::string& after, const CompletionGuardRef& completion,
                 const RowHandler& handle_row);
   void ScheduleAfter(Millis delay, std::function<void()> task);
@@ -73,6 +78,7 @@
   void Commit();
   void OnCommitted(const RowsReply& reply, bool renewed, bool released, MonotonicTime sent);
   void WriteWaveStatus();
+  void RemoveEndedJobs();
   void RemoveExpiredJobs();
 
   // fleet_owner.cc
@@ -126,6 +132,10 @@
   bool running = false;
   bool releasing = false;
   MonotonicTime retry_load;
+  ReadPacer read_pacer;
+  int open_reads = 0;
+  // Reads of pages that wait for an earlier one.
+  std::deque<std::function<void()>> waiting_reads;
   std::vector<StoredRow> loaded_jobs;
   std::map<JobId, JobProgress> loaded_progress;
   std::vector<StoredRow> loaded_backends;
@@ -149,6 +159,9 @@
   MonotonicTime store_read_at;
   MonotonicTime next_vm_list;
   bool vm_list_in_flight = false;
+  // Ended jobs whose rows are still to be removed, by part.
+  std::map<std::string, std::vector<JobId>> removable_jobs;
+  MonotonicTime next_row_removal;
   MonotonicTime next_cleanup;
 };
 
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -15,6 +15,10 @@
 // Maximum number of progress rows, or of removed rows, in one transaction; below the table
 // service's limit of 100 entries.
 constexpr std::size_t kMaxWrites = 80;
+// Interval between two batches of rows of ended jobs that are removed, and the time for which such
+// a row is kept, so that it does not come back by a repeated submission.
+constexpr Millis kRowRemovalInterval{300};
+constexpr Millis kRowKeep{2000};
 // Interval between two batches of expired rows that are removed.
 constexpr Millis kCleanupInterval{500};
 
@@ -125,6 +129,34 @@
                      }));
 }
 
+// Removes the rows of jobs whose end is written. Their progress answers callers, and keeps a late
+// repetition of the submission from running; without the rows a new owner has less to read.
+void FleetOwner::Impl::RemoveEndedJobs() {
+  const MonotonicTime now = ports.now();
+  if (now < next_row_removal) return;
+  next_row_removal = now + kRowRemovalInterval;
+  for (const JobId& id : dispatcher->TakeRemovable(kRowKeep, now)) {
+    removable_jobs[rows::JobPart(id)].push_back(id);
+  }
+  const auto most = std::max_element(
+      removable_jobs.begin(), removable_jobs.end(),
+      [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
+  if (most == removable_jobs.end() || most->second.empty()) return;
+  std::vector<JobId> batch = std::move(most->second);
+  most->second.clear();
+  if (batch.size() > kMaxWrites) {
+    most->second.assign(batch.begin() + kMaxWrites, batch.end());
+    batch.resize(kMaxWrites);
+  }
+  RowTransaction tx;
+  for (const JobId& id : batch) tx.removes.push_back(rows::Job(id));
+  ports.store.Commit(tx, kStoreTimeout, OnRows([this, batch](const RowsReply& reply) {
+                       if (reply.outcome == StoreOutcome::kDone) return;
+                       auto& again = removable_jobs[rows::JobPart(batch.front())];
+                       again.insert(again.end(), batch.begin(), batch.end());
+                     }));
+}
+
 // Removes the rows of ended jobs whose retention time has passed.
 void FleetOwner::Impl::RemoveExpiredJobs() {
   const MonotonicTime now = ports.now();
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -45,6 +45,49 @@
   LONGS_EQUAL(1, stops.size());
 }
 
+// The row of an ended job may be removed only when its end is written, because a job without
+// progress would be run again.
+TEST(DispatcherRecovery, TheRowOfAnEndedJobIsRemovableOnceItsEndIsWritten) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  EndRun(starts[0], RunEnd::kDone);
+  dispatcher->Tick(Now(), true);
+  now_ms += 200;
+  dispatcher->Tick(Now(), true);
+  for (const PollOrder& it : polls) ReplyTo(it);
+  polls.clear();
+  const Millis age(500);
+  now_ms += 1000;
+  dispatcher->Tick(Now(), false);
+  LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now()).size());
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  dispatcher->WritesDone(false);
+  LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now() + age).size());
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  dispatcher->WritesDone(true);
+  LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now()).size());
+  const auto removable = dispatcher->TakeRemovable(age, Now() + age);
+  LONGS_EQUAL(1, removable.size());
+  CHECK(removable[0] == JobId("j1"));
+  LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now() + 2 * age).size());
+}
+
+// Guards against a submission that is repeated after the job has ended and its row was removed: a
+// new owner knows the job only by its progress.
+TEST(DispatcherRecovery, ANewOwnerDoesNotRunAnEndedJobThatIsSubmittedAgain) {
+  MakeDispatcher(2);
+  AddBackend("b1");
+  JobProgress progress;
+  progress.outcome = JobOutcome::kCompleted;
+  dispatcher->AddEnded(JobId("j1"), progress, Now());
+  AddJob("j1", {Step(1, 1000)});
+  Advance(1000);
+  LONGS_EQUAL(0, starts.size());
+  CHECK(dispatcher->Waiting().empty());
+  CHECK(dispatcher->Expired(Millis(500), Now()) == std::vector<JobId>{JobId("j1")});
+}
+
 // The list of ends is lost with the backend server, so a VM is not idle before they are written.
 TEST(DispatcherRecovery, ABackendServerIsNotIdleBeforeItsEndsAreWritten) {
   AddBackend("b1");
--- a/coordination/tests/fleet_lease_test.cc
+++ b/coordination/tests/fleet_lease_test.cc
@@ -69,6 +69,26 @@
   CHECK(permit.ends() <= At(0));
 }
 
+// Guards against an owner that takes the row again at once after it gave it back because it could
+// not load; the row counts such owners, so that later ones get more time.
+TEST(FleetLease, CountsOwnersThatDidNotLoadAndBacksOff) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(std::nullopt, Revision(), At(0));
+  const auto first = lease.Claim(At(0));
+  LONGS_EQUAL(1, first->row.loads_failed);
+  lease.OnWriteSucceeded(first->row, Revision(5), At(0));
+  lease.BackOff(At(9000));
+  lease.OnWriteSucceeded(lease.Release().row, Revision(6), At(4000));
+  CHECK_FALSE(lease.Claim(At(8999)).has_value());
+  const auto again = lease.Claim(At(9000));
+  CHECK(again.has_value());
+  LONGS_EQUAL(2, again->row.loads_failed);
+  LONGS_EQUAL(2, OwnerRow::Decode(again->row.Encode()).value().loads_failed);
+  lease.OnWriteSucceeded(again->row, Revision(9), At(9000));
+  lease.MarkLoaded();
+  LONGS_EQUAL(0, lease.Renewal().row.loads_failed);
+}
+
 TEST(FleetLease, TakesAnAbsentRowAtOnceAndActsForTheLease) {
   FleetLease lease = NewLease("a#1");
   CHECK_FALSE(lease.Claim(At(0)).has_value());
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -79,6 +79,7 @@
   constexpr std::int64_t kTakeover = 6000;
   if (sim.now() - sim.owner_killed < kTakeover) sim.lease_expiry_forbidden = false;
   sim.owner_killed = sim.now();
+  sim.Trace(owner, "killed");
   sim.KillNode(owner);
   sim.At(sim.now() + 800 + sim.Draw(4000), [&sim, owner] { sim.StartNode(owner); });
 }
@@ -91,7 +92,9 @@
 void DisconnectBackend(FleetSim& sim) {
   const BackendId id = AnyBackend(sim);
   sim.backends.at(id).disconnected = true;
+  sim.Trace(-1, id.str() + " disconnected");
   sim.At(sim.now() + 500 + sim.Draw(12'000), [&sim, id] {
+    sim.Trace(-1, id.str() + " connected again");
     sim.backends.at(id).disconnected = false;
     sim.backends.at(id).reconnected_at = sim.now();
   });
@@ -176,6 +179,36 @@
   RunSeeds(settings, [](FleetSim&, int) {});
 }
 
+// Guards against owners that fill their link with the stored state, so that their renewals come too
+// late and the ownership passes from one to the next without any work being placed: 2 Mbit/s and
+// 1,000 waiting jobs, as on the small twin of the large site after all its nodes were killed.
+TEST(FleetSchedule, OwnerOnASlowLinkLoadsManyWaitingJobs) {
+  FleetSim::Settings settings;
+  settings.link_bytes_per_ms = 250;
+  settings.payload_bytes = 700;
+  FleetSim sim(settings);
+  sim.RunUntil(1500);
+  constexpr int kJobs = 1000;
+  constexpr int kJobsPerTick = 2;
+  for (int n = 0; n < kJobs; ++n) {
+    sim.At(1500 + n / kJobsPerTick * 20, [&sim] { sim.SubmitRandomJob(); });
+  }
+  sim.RunUntil(16'000);
+  sim.loaded_at = -1;
+  // Nobody extends the leases while the rows are read.
+  sim.lease_expiry_forbidden = false;
+  const int starts = sim.starts;
+  for (std::size_t n = 0; n < sim.nodes.size(); ++n) {
+    sim.KillNode(static_cast<int>(n));
+    sim.At(sim.now() + 700, [&sim, n] { sim.StartNode(static_cast<int>(n)); });
+  }
+  // The rows take 6 s on the link; the first owner may have to give the ownership back once.
+  sim.RunUntil(16'000 + 20'000);
+  CHECK(sim.loaded_at > 0);
+  CHECK(sim.starts > starts);
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
+
 TEST(FleetSchedule, AllFaultsTogether) {
   FleetSim::Settings settings;
   settings.faults = {0.03, 0.02, 0.03, 0.02};
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -32,6 +32,10 @@
     int nodes = 3;
     int backends_per_pool = 4;
     int pools = 2;
+    // Rate of replies of the table service to each node; 0 if they take no time.
+    std::int64_t link_bytes_per_ms = 0;
+    // Minimum size of the payload of jobs.
+    std::size_t payload_bytes = 0;
     Faults faults;
   };
   // A task's run on a backend server.
@@ -71,6 +75,8 @@
     bool alive = false;
     bool frozen = false;
     bool store_disconnected = false;
+    // When the last reply on the way to the node arrives, with a limited link.
+    std::int64_t link_free_at = 0;
     int incarnation = 0;
     // One per incarnation, because calls of a dead process may still be in flight.
     std::vector<std::unique_ptr<RowStore>> stores;
@@ -130,6 +136,8 @@
   // Whether it is a violation if the lease of a reachable backend server expires.
   bool lease_expiry_forbidden = true;
   std::int64_t owner_killed = -1'000'000;
+  // When an owner last loaded the stored state.
+  std::int64_t loaded_at = -1;
 
  private:
   friend class SimStore;
--- a/coordination/tests/fleet_sim_callers.cc
+++ b/coordination/tests/fleet_sim_callers.cc
@@ -43,6 +43,7 @@
   job.queue = config.queues[pool].id;
   job.sent_at = now_;
   job.spec.payload = "payload-" + std::to_string(Draw(1000));
+  job.spec.payload.resize(std::max(job.spec.payload.size(), settings_.payload_bytes), '.');
   job.always_fails = Draw() < 0.03;
   const int steps = 1 + Draw(3);
   for (int n = 0; n < steps; ++n) {
