--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -10,6 +10,8 @@
 // Maximum interval between placement rounds, for due times and delays that have passed.
 constexpr Millis kPlaceInterval{100};
 constexpr Millis kStuckCheckInterval{300};
+// Time in which a backend server that is reachable replies to one of the first polls of an owner.
+constexpr Millis kFirstPollTime{1500};
 
 }  // namespace
 
@@ -27,7 +29,11 @@
   impl_->roster_pending = roster;
   for (auto& [id, entry] : impl_->roster_pending) {
     const MonotonicTime latest = taken_at + impl_->LeaseBound();
-    entry.runs_end_by = std::min(entry.runs_end_by.value_or(latest), latest);
+    // A server that replied to the earlier owner may still list ends that nobody has seen, so it is
+    // polled once, also when its runs are over because loading took long.
+    const MonotonicTime polled = impl_->now_ + kFirstPollTime;
+    entry.runs_end_by =
+        entry.runs_end_by ? std::min(*entry.runs_end_by, latest) : std::max(latest, polled);
   }
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -73,6 +73,44 @@
   LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now() + 2 * age).size());
 }
 
+// Guards against a second run of a task whose end a backend server still lists: an owner that loads
+// for longer than a lease must not take it for granted that nothing is left to learn from the
+// roster.
+TEST(DispatcherRecovery, ASlowLoadDoesNotReplaceTheFirstPolls) {
+  now_ms = 20'000;
+  MakeDispatcher(2);
+  const MonotonicTime taken_at = Now() - Millis(9000);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("b2"), {PoolId("p"), std::nullopt}}},
+                        taken_at);
+  AddBackend("b1");
+  AddBackend("b2");
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  // The reply of one server is late.
+  silent.insert(BackendId("b1"));
+  Advance(200);
+  LONGS_EQUAL(0, starts.size());
+  silent.clear();
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+}
+
+// A server of the roster that never replies delays the tasks of earlier owners only for a short
+// time after a load that took longer than its lease.
+TEST(DispatcherRecovery, StartsElsewhereWhenAServerOfTheRosterDoesNotReplyAfterASlowLoad) {
+  now_ms = 20'000;
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("gone"), {PoolId("p"), std::nullopt}}},
+                        Now() - Millis(9000));
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(3000);
+  LONGS_EQUAL(1, starts.size());
+}
+
 // Guards against a submission that is repeated after the job has ended and its row was removed: a
 // new owner knows the job only by its progress.
 TEST(DispatcherRecovery, ANewOwnerDoesNotRunAnEndedJobThatIsSubmittedAgain) {
