--- a/coordination/include/sapphirewheel/coordination/coordination.h
+++ b/coordination/include/sapphirewheel/coordination/coordination.h
@@ -31,6 +31,7 @@
 #include "sapphirewheel/coordination/pool_controller.h"
 #include "sapphirewheel/coordination/pool_planner.h"
 #include "sapphirewheel/coordination/rendezvous.h"
+#include "sapphirewheel/coordination/share_meter.h"
 #include "sapphirewheel/coordination/stored_job.h"
 #include "sapphirewheel/coordination/token_escrow.h"
 #include "sapphirewheel/coordination/usage_estimator.h"
--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -146,7 +146,8 @@
 struct TeamPolicy {
   TeamId id;
   std::vector<std::string> keys;
-  std::int64_t share = 1;
+  // Jobs a second that are the team's share when the fleet is full.
+  double share = 1;
   // Upper limit over all backend servers; a component of 0 is not limited.
   Resources limit;
 };
--- a/coordination/include/sapphirewheel/coordination/fwd.h
+++ b/coordination/include/sapphirewheel/coordination/fwd.h
@@ -51,6 +51,7 @@
 enum class TaskStartOutcome;
 struct TaskStartReply;
 enum class TaskState;
+class ShareMeter;
 struct TeamTokens;
 class TokenEscrow;
 class UsageEstimator;
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -89,6 +89,9 @@
     return;
   }
   open_jobs.insert(&job);
+  const TeamPolicy* team = config ? config->FindTeam(job.stored.team) : nullptr;
+  job.over_share =
+      team != nullptr && !share_meter.Take(team->id, team->share, job.stored.accepted_at);
   if (job.stored.spec.repetitions == 0) {
     OpenOccurrence(job, 0);
   } else {
@@ -96,7 +99,8 @@
   }
   place_due = true;
   Report(DecisionKind::kJobTaken, id, "", BackendId(), RunNumber(),
-         std::string(inherited ? "inherited" : "new") + Describe(job.stored.spec));
+         std::string(inherited ? "inherited" : "new") +
+             (job.over_share ? ", over its team's share" : "") + Describe(job.stored.spec));
 }
 
 void Dispatcher::Impl::CountArrival(const JobEntry& job) {
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -18,11 +18,12 @@
 constexpr std::int64_t kBesideLongRunning = 600;
 
 // Tiers in placement order: long-running tasks, work that can still meet its target completion
-// time, late work, and best-effort tasks.
+// time, late work, work beyond its team's share, and best-effort tasks.
 constexpr int kLongRunningTier = 0;
 constexpr int kInTimeTier = 1;
 constexpr int kLateTier = 2;
-constexpr int kBestEffortTier = 3;
+constexpr int kOverShareTier = 3;
+constexpr int kBestEffortTier = 4;
 
 // Maximum number of backend servers in one advice call, which takes time for each.
 constexpr std::size_t kAdvicePerCall = 30;
@@ -113,14 +114,17 @@
   return best;
 }
 
-// What an earlier owner may have running for a team on backend servers that have not replied.
-Resources Dispatcher::Impl::InheritedUse(const TeamId& team) const {
-  Resources use;
-  if (roster_pending.empty()) return use;
+// What an earlier owner may have running on backend servers that have not replied, by team.
+void Dispatcher::Impl::UpdateInherited() {
+  unknown_pools.clear();
+  inherited_use.clear();
+  for (const auto& [id, entry] : roster_pending) unknown_pools.insert(entry.pool);
+  if (unknown_pools.empty()) return;
   for (const JobEntry* job : open_jobs) {
-    if (!job->inherited || job->stored.team != team) continue;
+    if (!job->inherited) continue;
     const QueuePolicy* queue = QueueOf(*job);
     if (queue == nullptr || AllRunsKnown(queue->pool)) continue;
+    Resources& use = inherited_use[job->stored.team];
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         if (!occurrence.steps[n].ready) continue;
@@ -132,14 +136,14 @@
       }
     }
   }
-  return use;
 }
 
 bool Dispatcher::Impl::IsWithinLimit(const TeamId& team, const Resources& more) const {
   const TeamPolicy* policy = config->FindTeam(team);
   if (policy == nullptr) return true;
   const auto used = team_use.find(team);
-  Resources use = more + InheritedUse(team);
+  Resources use = more;
+  if (const auto it = inherited_use.find(team); it != inherited_use.end()) use += it->second;
   if (used != team_use.end()) use += used->second;
   return IsWithin(use.cpu_millis, policy->limit.cpu_millis) &&
          IsWithin(use.memory_mib, policy->limit.memory_mib) &&
@@ -148,8 +152,7 @@
 
 // Whether no run of an earlier owner in the pool can be unknown to this one.
 bool Dispatcher::Impl::AllRunsKnown(const PoolId& pool) const {
-  return std::none_of(roster_pending.begin(), roster_pending.end(),
-                      [&](const auto& it) { return it.second.pool == pool; });
+  return unknown_pools.count(pool) == 0;
 }
 
 bool Dispatcher::Impl::MayStart(const JobEntry& job, const PoolId& pool,
@@ -203,6 +206,7 @@
         if (wall.count() + occurrence.remaining_path.count() > candidate.deadline) {
           candidate.tier = kLateTier;
         }
+        if (job->over_share) candidate.tier = kOverShareTier;
         if (spec.long_running) candidate.tier = kLongRunningTier;
         if (spec.best_effort) candidate.tier = kBestEffortTier;
         candidates.push_back(candidate);
@@ -213,6 +217,7 @@
 
 void Dispatcher::Impl::Place() {
   if (!config) return;
+  UpdateInherited();
   std::vector<Candidate> candidates;
   CollectCandidates(candidates);
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sapphirewheel/coordination/dispatcher.h"
+#include "sapphirewheel/coordination/share_meter.h"
 
 namespace sapphirewheel {
 
@@ -106,6 +107,8 @@
   // Number of the next occurrence to open.
   int next_occurrence = 0;
   bool inherited = false;
+  // Its team had submitted more than its share.
+  bool over_share = false;
   bool any_started = false;
   // Sequence number of the oldest unwritten change; 0 if there is none.
   std::uint64_t dirty_since = 0;
@@ -273,7 +276,8 @@
   [[nodiscard]] bool IsWithinLimit(const TeamId& team, const Resources& more) const;
   [[nodiscard]] bool AllRunsKnown(const PoolId& pool) const;
   [[nodiscard]] bool MayStart(const JobEntry& job, const PoolId& pool, const TaskState& task) const;
-  [[nodiscard]] Resources InheritedUse(const TeamId& team) const;
+  // Updates unknown_pools and inherited_use, for one placement round.
+  void UpdateInherited();
   void StartTask(const TaskKey& key, const TaskRef& ref, BackendEntry& backend, RunNumber run);
   [[nodiscard]] RunNumber NextRun(const TaskState& task) const;
   const std::vector<BackendEntry*>& PoolBackends(const PoolId& pool);
@@ -299,8 +303,13 @@
   bool pool_index_valid = false;
   std::map<TeamId, Resources> team_use;
   std::map<PoolId, std::int64_t> arrived_work;
+  ShareMeter share_meter;
   // Backend servers that an earlier owner may have used and that have not replied yet.
   Roster roster_pending;
+  // Pools with backend servers in roster_pending, and what earlier owners may have running there,
+  // as of the present placement round.
+  std::set<PoolId> unknown_pools;
+  std::map<TeamId, Resources> inherited_use;
   Roster roster_written;
   bool roster_ever_written = false;
   // Sequence number of the last change of any job's progress.
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -72,7 +72,7 @@
   if (config_read) {
     ports.store.Follow(table, config_revision, wait, kConfigPollWait + kFeedSlack, handle_reply);
   } else {
-    ports.store.Read({.table = table}, kStoreTimeout, handle_reply);
+    ports.store.Read(RowRange{table, "", "", "", 0}, kStoreTimeout, handle_reply);
   }
 }
 
@@ -114,7 +114,7 @@
     ApplyOwnerRow(reply, full_read);
   });
   if (full_read) {
-    ports.store.Read({.table = rows::kFleet, .part = rows::kOwnerPart}, kStoreTimeout,
+    ports.store.Read(RowRange{rows::kFleet, rows::kOwnerPart, "", "", 0}, kStoreTimeout,
                      handle_reply);
   } else {
     ports.store.Follow(rows::kFleet, owner_revision, kOwnerPollWait, kOwnerPollWait + kFeedSlack,
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -161,7 +161,7 @@
 
 void EntryNode::Impl::ReadRow(const PendingCallRef& call, const RowAddress& at,
                               const std::function<void(const StoredRow*)>& handle_row) {
-  ports.store.Read({at.table, at.part, at.key, at.key + kAboveKey},
+  ports.store.Read(RowRange{at.table, at.part, at.key, at.key + kAboveKey, 0},
                    std::min(kStoreTimeout, Remaining(*call)),
                    Guard<const RowsReply&>([this, call, at, handle_row](const RowsReply& reply) {
                      if (reply.outcome == StoreOutcome::kDone) {
@@ -271,7 +271,7 @@
     return;
   }
   const RowAddress at = rows::Owned(rows::kWaiting);
-  ports.store.Read({at.table, at.part, at.key, at.key + kAboveKey},
+  ports.store.Read(RowRange{at.table, at.part, at.key, at.key + kAboveKey, 0},
                    std::min(kStoreTimeout, reply_by - now),
                    Guard<const RowsReply&>([this, queue, path, respond](const RowsReply& reply) {
                      const StoredRow* row = FindRow(reply, rows::kWaiting);
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -192,8 +192,7 @@
     return;
   }
   PollFeed(
-      jobs_feed, [this](const StoredRow& row) { ApplyJobRow(row, false); },
-      [this] { ResyncJobs(); });
+      jobs_feed, [this](const StoredRow& row) { ApplyJobRow(row); }, [this] { ResyncJobs(); });
   PollFeed(
       registry_feed, [this](const StoredRow& row) { ApplyBackendRow(row); },
       [this] { ResyncRegistry(); });
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -16,7 +16,7 @@
 // then the rest in parallel, because each reply of a slow store takes long.
 void FleetOwner::Impl::Load() {
   loading = true;
-  ports.store.Read({.table = rows::kOwned, .part = rows::kOwnerPart}, kStoreTimeout,
+  ports.store.Read(RowRange{rows::kOwned, rows::kOwnerPart, "", "", 0}, kStoreTimeout,
                    OnRows([this](const RowsReply& reply) {
                      if (reply.outcome != StoreOutcome::kDone) {
                        loading = false;
@@ -112,7 +112,7 @@
                                 const RowHandler& handle_row) {
   const MonotonicTime sent = ports.now();
   ports.store.Read(
-      {table, part, from, "", read_pacer.rows()}, kStoreTimeout,
+      RowRange{table, part, from, "", read_pacer.rows()}, kStoreTimeout,
       OnRows([this, table, part, from, completion, handle_row, sent](const RowsReply& reply) {
         --open_reads;
         const Millis took = ports.now() - sent;
@@ -178,7 +178,15 @@
   dispatcher->SetRoster(roster, taken_at);
   if (config) dispatcher->SetConfig(config);
   for (const StoredRow& row : loaded_backends) ApplyBackendRow(row);
-  for (const StoredRow& row : loaded_jobs) ApplyJobRow(row, true);
+  std::vector<StoredJob> jobs;
+  for (const StoredRow& row : loaded_jobs) {
+    if (auto job = DecodeJobRow(row)) jobs.push_back(std::move(*job));
+  }
+  // The shares of teams are taken in the order of acceptance.
+  std::sort(jobs.begin(), jobs.end(), [](const StoredJob& a, const StoredJob& b) {
+    return std::tie(a.accepted_at, a.id) < std::tie(b.accepted_at, b.id);
+  });
+  for (StoredJob& job : jobs) AddJob(std::move(job), true);
   // The rows of ended jobs are removed before their progress.
   for (const auto& [id, progress] : loaded_progress) {
     if (progress.outcome != JobOutcome::kOpen) dispatcher->AddEnded(id, progress, now);
@@ -197,17 +205,24 @@
   for (const auto& [number, wave] : waves) maintenance->AddWave(wave, finished_vms[number]);
 }
 
-void FleetOwner::Impl::ApplyJobRow(const StoredRow& row, bool inherited) {
+std::optional<StoredJob> FleetOwner::Impl::DecodeJobRow(const StoredRow& row) const {
   const JobId id(row.at.key);
-  if (row.removed) return;
+  if (row.removed) return std::nullopt;
   auto job = DecodeStoredJob(id, row.value);
-  if (!job) {
-    ReportEvent(NodeEvent::kJobUnreadable, id.str() + ": " + job.error().message);
-    return;
-  }
+  if (job) return std::move(job.value());
+  ReportEvent(NodeEvent::kJobUnreadable, id.str() + ": " + job.error().message);
+  return std::nullopt;
+}
+
+void FleetOwner::Impl::AddJob(StoredJob job, bool inherited) {
   std::optional<JobProgress> progress;
-  if (const auto it = loaded_progress.find(id); it != loaded_progress.end()) progress = it->second;
-  dispatcher->AddJob(std::move(job.value()), progress, inherited, ports.now());
+  const auto it = loaded_progress.find(job.id);
+  if (it != loaded_progress.end()) progress = it->second;
+  dispatcher->AddJob(std::move(job), progress, inherited, ports.now());
+}
+
+void FleetOwner::Impl::ApplyJobRow(const StoredRow& row) {
+  if (auto job = DecodeJobRow(row)) AddJob(std::move(*job), false);
 }
 
 void FleetOwner::Impl::ApplyBackendRow(const StoredRow& row) {
@@ -247,7 +262,7 @@
                               const std::function<void(const CompletionGuardRef&)>& read,
                               const std::function<void()>& done) {
   feed.in_flight = true;
-  ports.store.Read({rows::kOwned, rows::kOwnerPart, rows::kRoster, ""}, kStoreTimeout,
+  ports.store.Read(RowRange{rows::kOwned, rows::kOwnerPart, rows::kRoster, "", 0}, kStoreTimeout,
                    OnRows([this, &feed, read, done](const RowsReply& reply) {
                      if (reply.outcome != StoreOutcome::kDone) {
                        ScheduleAfter(kStoreRetryDelay,
@@ -267,7 +282,7 @@
   Resync(
       jobs_feed,
       [this](const CompletionGuardRef& completion) {
-        ReadJobs("", completion, [this](const StoredRow& row) { ApplyJobRow(row, false); });
+        ReadJobs("", completion, [this](const StoredRow& row) { ApplyJobRow(row); });
       },
       nullptr);
 }
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -67,7 +67,10 @@
   [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
   [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
   void StartRunning();
-  void ApplyJobRow(const StoredRow& row, bool inherited);
+  // Absent for a removed row, or one that cannot be decoded.
+  [[nodiscard]] std::optional<StoredJob> DecodeJobRow(const StoredRow& row) const;
+  void AddJob(StoredJob job, bool inherited);
+  void ApplyJobRow(const StoredRow& row);
   void ApplyBackendRow(const StoredRow& row);
   void PollFeed(Feed& feed, const std::function<void(const StoredRow&)>& handle_row,
                 const std::function<void()>& resync);
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "dispatcher_fixture.h"
 
 using namespace sapphirewheel;           // NOLINT(google-build-using-namespace)
@@ -6,6 +8,36 @@
 // Where and when tasks are placed.
 TEST_GROUP_BASE(Dispatcher, DispatcherFixture){};
 
+// Guards against a team that floods a full pool and so delays the work of all others: what it
+// submits beyond its share waits until the others' work is placed.
+TEST(Dispatcher, WorkBeyondATeamsShareWaitsForThatOfOtherTeams) {
+  auto config = std::make_shared<DispatchConfig>();
+  config->pools = {{PoolId("p"), false, false}};
+  QueuePolicy queue;
+  queue.id = QueueId("q");
+  queue.pool = PoolId("p");
+  config->queues = {queue};
+  config->teams = {TeamPolicy{TeamId("flood"), {}, 2, {}}, TeamPolicy{TeamId("other"), {}, 2, {}}};
+  dispatcher->SetConfig(config);
+  for (int n = 0; n < 40; ++n) {
+    AddJob(("a" + std::to_string(n)).c_str(), {Step(1, 4000)}, "flood");
+  }
+  now_ms += 100;
+  for (int n = 0; n < 2; ++n) AddJob(("b" + std::to_string(n)).c_str(), {Step(1, 4000)}, "other");
+  // Room for six tasks; the share of the flood and its burst are four jobs.
+  for (const char* id : {"s0", "s1", "s2"}) AddBackend(id);
+  Advance(200);
+  LONGS_EQUAL(6, starts.size());
+  const auto others = std::count_if(starts.begin(), starts.end(), [](const StartOrder& it) {
+    return it.task.job.str().front() == 'b';
+  });
+  LONGS_EQUAL(2, others);
+  // Nothing is left idle while work beyond a share waits.
+  AddBackend("s3");
+  Advance(200);
+  LONGS_EQUAL(8, starts.size());
+}
+
 TEST(Dispatcher, DoesNotExceedTheCapacityOfABackendServer) {
   AddBackend("b1");
   AddJob("j1", {Step(5, 3000)});
