--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -49,6 +49,10 @@
 // Subtracted from the longest lease that backend servers grant, to allow for drift of their clocks.
 constexpr Millis kLeaseReserve{200};
 
+// Interval in which the longest gap between two ticks is reported, and the gap that is logged.
+constexpr Millis kTickGapInterval{1000};
+constexpr Millis kLateTick{250};
+
 // CLOCK_BOOTTIME advances while the VM is suspended, unlike the steady clock, so that a lease that
 // ends during a suspension is noticed.
 MonotonicTime BootTime() {
@@ -118,6 +122,8 @@
       return Event::kMaintenance;
     case NodeEvent::kVmMoved:
       return Event::kVmMoved;
+    case NodeEvent::kFleetLoad:
+      return Event::kFleetLoad;
     case NodeEvent::kJobAccepted:
       return Event::kCallAccepted;
     case NodeEvent::kJobCancelled:
@@ -320,8 +326,21 @@
     return reply;
   }
 
+  void ObserveTick(MonotonicTime now) {
+    if (last_tick_) longest_tick_gap_ = std::max(longest_tick_gap_, now - *last_tick_);
+    last_tick_ = now;
+    if (now < next_tick_report_) return;
+    next_tick_report_ = now + kTickGapInterval;
+    metrics_.SetLongestTickGap(longest_tick_gap_);
+    if (longest_tick_gap_ > kLateTick) {
+      Log(Event::kNodeLate, {{"ms", std::to_string(longest_tick_gap_.count())}});
+    }
+    longest_tick_gap_ = Millis(0);
+  }
+
   void Tick(bool stop_requested) {
     const MonotonicTime now = BootTime();
+    ObserveTick(now);
     node_->Tick(now);
     log_.Tick(now);
     if (node_->owner() != owner_) {
@@ -368,6 +387,9 @@
   bool owner_ = false;
   bool listener_closed_ = false;
   std::optional<MonotonicTime> stopping_since_;
+  std::optional<MonotonicTime> last_tick_;
+  MonotonicTime next_tick_report_;
+  Millis longest_tick_gap_{0};
 };
 
 int StartFailed(const Error& error) {
--- a/apps/daemon/src/deployed_metrics.cc
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -50,6 +50,7 @@
 DeployedMetrics::DeployedMetrics() {
   SetOwner(false);
   SetSuppressedLines(0);
+  SetLongestTickGap(Millis(0));
 }
 
 void DeployedMetrics::CountEvent(Event event) {
@@ -85,6 +86,14 @@
       .Set(lines);
 }
 
+void DeployedMetrics::SetLongestTickGap(Millis gap) {
+  constexpr double kMillisPerSecond = 1000;
+  registry_
+      .GetGauge("sapphirewheel_longest_tick_gap_seconds",
+                "Longest time between two ticks of the node's thread in the last second.")
+      .Set(static_cast<double>(gap.count()) / kMillisPerSecond);
+}
+
 void MeteredRowStore::Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) {
   const auto start = SteadyClock::now();
   next_.Commit(transaction, timeout, [this, start, done = std::move(done)](const RowsReply& it) {
--- a/apps/daemon/src/deployed_metrics.h
+++ b/apps/daemon/src/deployed_metrics.h
@@ -21,6 +21,8 @@
   void ObserveStoreCall(const char* kind, StoreOutcome outcome, double seconds);
   void SetOwner(bool owner);
   void SetSuppressedLines(double lines);
+  // Longest time between two ticks of the node's thread in the last second.
+  void SetLongestTickGap(Millis gap);
 
   // Prometheus text format.
   [[nodiscard]] std::string Render() const { return registry_.Render(); }
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -276,6 +276,10 @@
     std::int64_t running_cpu = 0;
     // Work of tasks that do not run yet.
     std::int64_t waiting_work = 0;
+    // The parts of both that can no longer meet their target completion time, or are beyond their
+    // team's share.
+    std::int64_t overdue_running_cpu = 0;
+    std::int64_t overdue_work = 0;
     // Work of all new jobs that this owner has taken so far, without long-running tasks.
     std::int64_t arrived_work = 0;
     // Largest number of backend servers that a long-running step needs because of its
@@ -284,6 +288,16 @@
   };
   [[nodiscard]] std::map<PoolId, PoolLoad> Loads() const;
 
+  // What placement has cost so far.
+  struct PlacementWork {
+    std::uint64_t rounds = 0;
+    // Steps with waiting tasks that a round considered.
+    std::uint64_t candidates = 0;
+    // Backend servers that were compared for a task.
+    std::uint64_t servers_compared = 0;
+  };
+  [[nodiscard]] const PlacementWork& placement_work() const noexcept;
+
   // Whether a backend server has refused an order because of a higher fencing token.
   [[nodiscard]] bool fenced() const noexcept;
 
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -56,6 +56,7 @@
   kLoaded,
   kWave,
   kVmMoved,
+  kFleetLoad,
   kJobAccepted,
   kJobCancelled,
   kJobUnreadable,
--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -61,6 +61,15 @@
   // Number of backend servers that a pool should have.
   [[nodiscard]] int Wanted(const PoolId& pool) const;
 
+  struct PoolStatus {
+    PoolId pool;
+    // Numbers of backend servers; `incoming` are on the way into the pool.
+    int wanted = 0;
+    int present = 0;
+    int incoming = 0;
+  };
+  [[nodiscard]] std::vector<PoolStatus> Status() const;
+
  private:
   struct Arrival {
     MonotonicTime at;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -257,12 +257,14 @@
 
 std::map<PoolId, Dispatcher::PoolLoad> Dispatcher::Loads() const {
   std::map<PoolId, PoolLoad> loads;
+  const UnixMillis wall = impl_->hooks.wall_clock();
   for (const auto& [pool, work] : impl_->arrived_work) loads[pool].arrived_work = work;
   for (const JobEntry* job : impl_->open_jobs) {
     const QueuePolicy* queue = impl_->QueueOf(*job);
     if (queue == nullptr) continue;
     PoolLoad& load = loads[queue->pool];
     for (const auto& [number, occurrence] : job->open) {
+      const bool overdue = job->over_share || Impl::IsLate(*queue, occurrence, wall);
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         const StepSpec& spec = job->stored.spec.steps[n];
         const std::int64_t cpu = spec.Charge().cpu_millis;
@@ -276,8 +278,14 @@
           continue;
         }
         for (const TaskState& it : occurrence.steps[n].tasks) {
-          if (it.backend != nullptr) load.running_cpu += cpu;
-          if (it.phase == TaskPhase::kWaiting) load.waiting_work += cpu * spec.estimate.count();
+          if (it.backend != nullptr) {
+            load.running_cpu += cpu;
+            if (overdue) load.overdue_running_cpu += cpu;
+          }
+          if (it.phase == TaskPhase::kWaiting) {
+            load.waiting_work += cpu * spec.estimate.count();
+            if (overdue) load.overdue_work += cpu * spec.estimate.count();
+          }
         }
       }
     }
@@ -285,6 +293,10 @@
   return loads;
 }
 
+const Dispatcher::PlacementWork& Dispatcher::placement_work() const noexcept {
+  return impl_->placement_work;
+}
+
 bool Dispatcher::fenced() const noexcept { return impl_->fenced; }
 
 }  // namespace sapphirewheel
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -40,6 +40,13 @@
   return report.labels.size() < 2 ? none : report.labels.back();
 }
 
+// Time of day by which an occurrence should end, in milliseconds since 1970.
+std::int64_t TargetCompletion(const QueuePolicy& queue, const OccurrenceState& occurrence) {
+  const auto path = static_cast<double>(occurrence.critical_path.count());
+  return occurrence.due.count() + static_cast<std::int64_t>(queue.stretch * path) +
+         queue.target_latency.count();
+}
+
 bool IsWithin(std::int64_t use, std::int64_t limit) { return limit == 0 || use <= limit; }
 
 }  // namespace
@@ -90,6 +97,7 @@
   BackendEntry* best = nullptr;
   std::int64_t best_score = 0;
   for (BackendEntry* it : PoolBackends(queue.pool)) {
+    ++placement_work.servers_compared;
     if (!IsUsable(*it)) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
@@ -183,6 +191,11 @@
   SendStart(key, ref);
 }
 
+bool Dispatcher::Impl::IsLate(const QueuePolicy& queue, const OccurrenceState& occurrence,
+                              UnixMillis wall) {
+  return wall.count() + occurrence.remaining_path.count() > TargetCompletion(queue, occurrence);
+}
+
 void Dispatcher::Impl::CollectCandidates(std::vector<Candidate>& candidates) {
   const UnixMillis wall = hooks.wall_clock();
   for (JobEntry* job : open_jobs) {
@@ -198,14 +211,8 @@
                         [&](const TaskState& it) { return MayStart(*job, queue->pool, it); });
         if (!waiting) continue;
         Candidate candidate{kInTimeTier, queue->priority, 0, job, &occurrence, static_cast<int>(n)};
-        const auto target_duration =
-            static_cast<std::int64_t>(queue->stretch *
-                                      static_cast<double>(occurrence.critical_path.count())) +
-            queue->target_latency.count();
-        candidate.deadline = occurrence.due.count() + target_duration;
-        if (wall.count() + occurrence.remaining_path.count() > candidate.deadline) {
-          candidate.tier = kLateTier;
-        }
+        candidate.deadline = TargetCompletion(*queue, occurrence);
+        if (IsLate(*queue, occurrence, wall)) candidate.tier = kLateTier;
         if (job->over_share) candidate.tier = kOverShareTier;
         if (spec.long_running) candidate.tier = kLongRunningTier;
         if (spec.best_effort) candidate.tier = kBestEffortTier;
@@ -225,6 +232,8 @@
                     a.step) <
            std::tie(b.tier, b.priority, b.deadline, b.job->stored.id, b.occurrence->number, b.step);
   });
+  ++placement_work.rounds;
+  placement_work.candidates += candidates.size();
   for (const Candidate& it : candidates) PlaceStep(it);
   for (auto& [id, backend] : backends) backend->reserved = false;
 }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -273,6 +273,9 @@
   [[nodiscard]] bool IsUsable(const BackendEntry& backend) const;
   [[nodiscard]] std::int64_t Score(const BackendEntry& backend, const StepSpec& spec,
                                    const StepState& step, const TaskState& task) const;
+  // Whether an occurrence can no longer meet its target completion time.
+  [[nodiscard]] static bool IsLate(const QueuePolicy& queue, const OccurrenceState& occurrence,
+                                   UnixMillis wall);
   [[nodiscard]] bool IsWithinLimit(const TeamId& team, const Resources& more) const;
   [[nodiscard]] bool AllRunsKnown(const PoolId& pool) const;
   [[nodiscard]] bool MayStart(const JobEntry& job, const PoolId& pool, const TaskState& task) const;
@@ -320,6 +323,7 @@
   std::map<std::uint64_t, JobId> writing;
   // Jobs whose end has been written, with the time of that, until TakeRemovable returns them.
   std::deque<std::pair<MonotonicTime, JobId>> removable;
+  PlacementWork placement_work;
   bool fenced = false;
   // The advice service accepts one call per node at a time.
   bool advice_in_flight = false;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -16,6 +16,9 @@
 constexpr Millis kVmListInterval{700};
 // Interval of evaluating the demand of pools; a move takes many times as long.
 constexpr Millis kAutoscaleInterval{100};
+constexpr Millis kLoadReportInterval{1000};
+// One core-second in milli-cores times milliseconds.
+constexpr std::int64_t kCoreSecond = 1'000'000;
 // Time in which an owner has to load the stored state; longer for each owner in a row that did not,
 // so that a load that is slow on every node succeeds in the end.
 constexpr Millis kLoadTime{4000};
@@ -171,6 +174,31 @@
   return hooks;
 }
 
+void FleetOwner::Impl::ReportLoad(const std::map<PoolId, Dispatcher::PoolLoad>& loads,
+                                  MonotonicTime now) {
+  if (now < next_load_report) return;
+  next_load_report = now + kLoadReportInterval;
+  const auto core_seconds = [](std::int64_t work) { return std::to_string(work / kCoreSecond); };
+  for (const auto& it : autoscaler->Status()) {
+    const auto found = loads.find(it.pool);
+    const Dispatcher::PoolLoad load = found == loads.end() ? Dispatcher::PoolLoad{} : found->second;
+    ReportEvent(NodeEvent::kFleetLoad,
+                "pool=" + it.pool.str() + " wanted=" + std::to_string(it.wanted) + " present=" +
+                    std::to_string(it.present) + " incoming=" + std::to_string(it.incoming) +
+                    " running=" + std::to_string(load.running_cpu) +
+                    " mcpu overdue=" + std::to_string(load.overdue_running_cpu) +
+                    " mcpu waiting=" + core_seconds(load.waiting_work) +
+                    " core-s overdue=" + core_seconds(load.overdue_work) + " core-s");
+  }
+  const Dispatcher::PlacementWork& work = dispatcher->placement_work();
+  ReportEvent(NodeEvent::kFleetLoad,
+              "placement rounds=" + std::to_string(work.rounds - reported_work.rounds) +
+                  " candidates=" + std::to_string(work.candidates - reported_work.candidates) +
+                  " servers-compared=" +
+                  std::to_string(work.servers_compared - reported_work.servers_compared));
+  reported_work = work;
+}
+
 void FleetOwner::Impl::Tick(MonotonicTime now) {
   RunScheduled(now);
   if (!running) {
@@ -202,10 +230,11 @@
     if (now >= next_autoscale) {
       next_autoscale = now + kAutoscaleInterval;
       const auto backends = dispatcher->Backends();
+      const auto loads = dispatcher->Loads();
       if (maintenance->Active()) maintenance->Tick(backends, now);
       autoscaler->Tick(
-          backends, dispatcher->Loads(),
-          [this](const VmId& vm) { return maintenance->IsPending(vm); }, now);
+          backends, loads, [this](const VmId& vm) { return maintenance->IsPending(vm); }, now);
+      ReportLoad(loads, now);
     }
     for (const auto& it : maintenance->TakeChanges()) {
       wave_rows[it.wave] = MaintenanceRunner::EncodeFinished(it.finished);
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -89,6 +89,8 @@
   void QueueFences(const std::vector<VmReport>& vms);
   void SendFence();
   void Tick(MonotonicTime now);
+  // Logs what the pools need and have, and what placement cost, once in kLoadReportInterval.
+  void ReportLoad(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now);
   void ReportEvent(NodeEvent event, const std::string& detail) const {
     if (ports.on_event) ports.on_event(event, detail);
   }
@@ -117,6 +119,8 @@
   std::unique_ptr<MaintenanceRunner> maintenance;
   std::unique_ptr<PoolAutoscaler> autoscaler;
   MonotonicTime next_autoscale;
+  MonotonicTime next_load_report;
+  Dispatcher::PlacementWork reported_work;
   bool fences_queued = false;
   // Orders to VMs without an outcome. The ownership is not released before it is 0, because the
   // next owner may order the same VM at once.
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -37,6 +37,14 @@
   return it == pools_.end() ? 0 : it->second.wanted;
 }
 
+std::vector<PoolAutoscaler::PoolStatus> PoolAutoscaler::Status() const {
+  std::vector<PoolStatus> status;
+  for (const auto& [id, pool] : pools_) {
+    status.push_back({id, pool.wanted, pool.present, pool.incoming});
+  }
+  return status;
+}
+
 void PoolAutoscaler::SetVms(const std::vector<VmReport>& vms, MonotonicTime now) {
   if (!listed_) started_ = now;
   listed_ = true;
