Compare each server of a full pool at most once in a placement round

Callers saw most jobs of a burst started too late on the large site. Class of fault: work of the deciding thread that grows with the backlog. Now a round lists the usable servers of each pool once, with an upper bound of what is free on one; steps that do not fit under it are no candidates, and jobs know their queue. Written ends are acknowledged for the server that replied, not for all.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -22,6 +22,9 @@
 
 void Dispatcher::SetConfig(std::shared_ptr<const DispatchConfig> config) {
   impl_->config = std::move(config);
+  for (auto& [id, job] : impl_->jobs) {
+    job->queue = impl_->config ? impl_->config->FindQueue(job->stored.queue) : nullptr;
+  }
   impl_->place_due = true;
 }
 
@@ -63,7 +66,6 @@
   impl_->now_ = now;
   auto& slot = impl_->backends[report.id];
   impl_->place_due = true;
-  impl_->pool_index_valid = false;
   if (!slot) {
     slot = std::make_unique<BackendEntry>();
     slot->report = report;
@@ -104,6 +106,7 @@
 
 void Dispatcher::Tick(MonotonicTime now, bool may_order) {
   impl_->now_ = now;
+  impl_->pool_servers_valid = false;
   impl_->OpenDueOccurrences();
   impl_->ExpireLeases();
   if (!may_order || impl_->fenced) return;
@@ -159,7 +162,8 @@
     job.dirty_since = at;
     impl_->dirty[at] = id;
   }
-  impl_->AcknowledgeEnds();
+  const std::uint64_t up_to = impl_->WrittenUpTo();
+  for (auto& [id, backend] : impl_->backends) Impl::AcknowledgeEnds(*backend, up_to);
 }
 
 bool Dispatcher::HasWrites() const { return !impl_->dirty.empty(); }
@@ -260,7 +264,7 @@
   const UnixMillis wall = impl_->hooks.wall_clock();
   for (const auto& [pool, work] : impl_->arrived_work) loads[pool].arrived_work = work;
   for (const JobEntry* job : impl_->open_jobs) {
-    const QueuePolicy* queue = impl_->QueueOf(*job);
+    const QueuePolicy* queue = job->queue;
     if (queue == nullptr) continue;
     PoolLoad& load = loads[queue->pool];
     for (const auto& [number, occurrence] : job->open) {
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -203,8 +203,7 @@
   MarkDirty(job);
   RecordFailedRun(backend, job.stored.id);
   ref.task->failed_at = backend.report.id;
-  const QueuePolicy* queue = QueueOf(job);
-  if (queue != nullptr && failures >= queue->attempts) {
+  if (job.queue != nullptr && failures >= job.queue->attempts) {
     EndJob(job, JobOutcome::kFailed,
            end.task.str() + " failed " + std::to_string(failures) + " times");
   }
@@ -461,7 +460,7 @@
   }
   impl_->ReconcileUnlisted(*backend, listed, sent);
   impl_->PaceBestEffortTasks(*backend);
-  impl_->AcknowledgeEnds();
+  Impl::AcknowledgeEnds(*backend, impl_->WrittenUpTo());
   const bool more = reply.ended.size() >= kMaxEndsPerPoll;
   if (newest) backend->next_poll = more ? now : now + impl_->settings.poll_pause;
 }
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -48,10 +48,6 @@
   dirty[last_change] = job.stored.id;
 }
 
-const QueuePolicy* Dispatcher::Impl::QueueOf(const JobEntry& job) const {
-  return config ? config->FindQueue(job.stored.queue) : nullptr;
-}
-
 TaskRef Dispatcher::Impl::Find(const TaskKey& key) {
   const auto job = jobs.find(key.job);
   if (job == jobs.end()) return {};
@@ -74,6 +70,7 @@
   auto owned = std::make_unique<JobEntry>();
   JobEntry& job = *owned;
   job.stored = std::move(stored);
+  job.queue = config ? config->FindQueue(job.stored.queue) : nullptr;
   job.inherited = inherited;
   if (progress) job.progress = *progress;
   const JobId id = job.stored.id;
@@ -104,11 +101,10 @@
 }
 
 void Dispatcher::Impl::CountArrival(const JobEntry& job) {
-  const QueuePolicy* queue = QueueOf(job);
-  if (queue == nullptr || job.inherited) return;
+  if (job.queue == nullptr || job.inherited) return;
   for (const StepSpec& it : job.stored.spec.steps) {
     if (it.long_running) continue;
-    arrived_work[queue->pool] += it.Charge().cpu_millis * it.estimate.count() * it.count;
+    arrived_work[job.queue->pool] += it.Charge().cpu_millis * it.estimate.count() * it.count;
   }
 }
 
@@ -223,14 +219,11 @@
   return least - 1;
 }
 
-void Dispatcher::Impl::AcknowledgeEnds() {
-  const std::uint64_t written = WrittenUpTo();
-  for (auto& [id, backend] : backends) {
-    auto& waiting = backend->unacknowledged;
-    while (!waiting.empty() && waiting.front().second <= written) {
-      backend->ends_acknowledged = waiting.front().first;
-      waiting.pop_front();
-    }
+void Dispatcher::Impl::AcknowledgeEnds(BackendEntry& backend, std::uint64_t written) {
+  auto& waiting = backend.unacknowledged;
+  while (!waiting.empty() && waiting.front().second <= written) {
+    backend.ends_acknowledged = waiting.front().first;
+    waiting.pop_front();
   }
 }
 
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -125,7 +125,7 @@
                         backend.unacknowledged.empty() &&
                         (backend.ends_ack_sent >= backend.ends_acknowledged || backend.failing);
     if (forget) {
-      pool_index_valid = false;
+      pool_servers_valid = false;
       retry_backends.erase(backend.report.id);
     }
     return forget;
@@ -175,7 +175,7 @@
     if (!ref.spec->long_running || ref.task->phase != TaskPhase::kRunning || !ref.job->IsOpen()) {
       continue;
     }
-    const QueuePolicy* queue = QueueOf(*ref.job);
+    const QueuePolicy* queue = ref.job->queue;
     if (queue == nullptr) continue;
     const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
     if (allowed && Pick(*queue, *ref.spec, *ref.step, *ref.task, {}) != nullptr) {
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -47,24 +47,40 @@
          queue.target_latency.count();
 }
 
+Resources LargerOf(const Resources& a, const Resources& b) {
+  return {std::max(a.cpu_millis, b.cpu_millis), std::max(a.memory_mib, b.memory_mib),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 bool IsWithin(std::int64_t use, std::int64_t limit) { return limit == 0 || use <= limit; }
 
 }  // namespace
 
-const std::vector<BackendEntry*>& Dispatcher::Impl::PoolBackends(const PoolId& pool) {
-  if (!pool_index_valid) {
-    pool_index.clear();
-    for (auto& [id, backend] : backends) pool_index[backend->report.pool].push_back(backend.get());
-    pool_index_valid = true;
+Resources Dispatcher::Impl::FreeOn(const BackendEntry& backend) {
+  Resources free = backend.report.capacity - backend.used;
+  for (const auto& [run, orphan] : backend.orphans) free -= orphan.charge;
+  return free;
+}
+
+const Dispatcher::Impl::PoolServers& Dispatcher::Impl::ServersOf(const PoolId& pool) {
+  if (!pool_servers_valid) {
+    pool_servers.clear();
+    for (auto& [id, backend] : backends) {
+      if (!IsUsable(*backend)) continue;
+      PoolServers& servers = pool_servers[backend->report.pool];
+      servers.usable.push_back(backend.get());
+      servers.largest_free = LargerOf(servers.largest_free, FreeOn(*backend));
+    }
+    pool_servers_valid = true;
   }
-  return pool_index[pool];
+  return pool_servers[pool];
 }
 
 bool Dispatcher::Impl::IsUsable(const BackendEntry& backend) const {
   if (!backend.registered || !backend.has_replied || backend.failing || !backend.clock) {
     return false;
   }
-  if (backend.report.draining || backend.evacuating || backend.reserved) return false;
+  if (backend.report.draining || backend.evacuating) return false;
   if (!IsInRoster(backend)) return false;
   return std::none_of(backend.orphans.begin(), backend.orphans.end(),
                       [](const auto& it) { return it.second.unknown_size; });
@@ -94,20 +110,25 @@
 BackendEntry* Dispatcher::Impl::Pick(const QueuePolicy& queue, const StepSpec& spec,
                                      const StepState& step, const TaskState& task,
                                      const std::map<BackendEntry*, Resources>& planned) {
+  const PoolServers& servers = ServersOf(queue.pool);
+  const Resources charge = spec.Charge();
+  if (!charge.FitsIn(servers.largest_free)) return nullptr;
   BackendEntry* best = nullptr;
   std::int64_t best_score = 0;
-  for (BackendEntry* it : PoolBackends(queue.pool)) {
+  Resources largest_free;
+  for (BackendEntry* it : servers.usable) {
     ++placement_work.servers_compared;
-    if (!IsUsable(*it)) continue;
+    const Resources free = FreeOn(*it);
+    largest_free = LargerOf(largest_free, free);
+    if (it->reserved) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
     // A best-effort task slows serving tasks on the same backend server.
     if (spec.best_effort && it->serving_tasks > 0) continue;
     if (spec.latency_target.count() > 0 && it->best_effort_tasks > 0) continue;
-    Resources need = it->used + spec.Charge();
-    for (const auto& [run, orphan] : it->orphans) need += orphan.charge;
+    Resources need = charge;
     if (const auto more = planned.find(it); more != planned.end()) need += more->second;
-    if (!need.FitsIn(it->report.capacity)) continue;
+    if (!need.FitsIn(free)) continue;
     if (spec.per_server_limit > 0) {
       const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
                                       [&](const TaskState& other) { return other.backend == it; });
@@ -119,6 +140,8 @@
       best_score = score;
     }
   }
+  // Nothing becomes free within a round, so the bound holds for the rest of it.
+  pool_servers[queue.pool].largest_free = largest_free;
   return best;
 }
 
@@ -129,9 +152,7 @@
   for (const auto& [id, entry] : roster_pending) unknown_pools.insert(entry.pool);
   if (unknown_pools.empty()) return;
   for (const JobEntry* job : open_jobs) {
-    if (!job->inherited) continue;
-    const QueuePolicy* queue = QueueOf(*job);
-    if (queue == nullptr || AllRunsKnown(queue->pool)) continue;
+    if (!job->inherited || job->queue == nullptr || AllRunsKnown(job->queue->pool)) continue;
     Resources& use = inherited_use[job->stored.team];
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
@@ -163,10 +184,9 @@
   return unknown_pools.count(pool) == 0;
 }
 
-bool Dispatcher::Impl::MayStart(const JobEntry& job, const PoolId& pool,
-                                const TaskState& task) const {
+bool Dispatcher::Impl::MayStart(const TaskState& task, bool runs_known) const {
   if (task.phase != TaskPhase::kWaiting || task.not_before > now_) return false;
-  return !job.inherited || task.located || AllRunsKnown(pool);
+  return runs_known || task.located;
 }
 
 RunNumber Dispatcher::Impl::NextRun(const TaskState& task) const {
@@ -199,16 +219,20 @@
 void Dispatcher::Impl::CollectCandidates(std::vector<Candidate>& candidates) {
   const UnixMillis wall = hooks.wall_clock();
   for (JobEntry* job : open_jobs) {
-    const QueuePolicy* queue = QueueOf(*job);
+    const QueuePolicy* queue = job->queue;
     if (queue == nullptr) continue;
+    const Resources& largest_free = ServersOf(queue->pool).largest_free;
+    const bool runs_known = !job->inherited || AllRunsKnown(queue->pool);
     for (auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         const StepState& step = occurrence.steps[n];
         const StepSpec& spec = job->stored.spec.steps[n];
         if (!step.ready || step.done == spec.count) continue;
+        // A long-running step without room reserves a server.
+        if (!spec.long_running && !spec.Charge().FitsIn(largest_free)) continue;
         const bool waiting =
             std::any_of(step.tasks.begin(), step.tasks.end(),
-                        [&](const TaskState& it) { return MayStart(*job, queue->pool, it); });
+                        [&](const TaskState& it) { return MayStart(it, runs_known); });
         if (!waiting) continue;
         Candidate candidate{kInTimeTier, queue->priority, 0, job, &occurrence, static_cast<int>(n)};
         candidate.deadline = TargetCompletion(*queue, occurrence);
@@ -224,6 +248,7 @@
 
 void Dispatcher::Impl::Place() {
   if (!config) return;
+  pool_servers_valid = false;
   UpdateInherited();
   std::vector<Candidate> candidates;
   CollectCandidates(candidates);
@@ -240,16 +265,17 @@
 
 void Dispatcher::Impl::PlaceStep(const Candidate& candidate) {
   JobEntry& job = *candidate.job;
-  const QueuePolicy* queue = QueueOf(job);
+  const QueuePolicy* queue = job.queue;
   const StepSpec& spec = job.stored.spec.steps[candidate.step];
   StepState& step = candidate.occurrence->steps[candidate.step];
+  const bool runs_known = !job.inherited || AllRunsKnown(queue->pool);
   if (spec.gang) {
     PlaceGang(candidate, *queue);
     return;
   }
   for (int index = 0; index < spec.count; ++index) {
     TaskState& task = step.tasks[index];
-    if (!MayStart(job, queue->pool, task)) continue;
+    if (!MayStart(task, runs_known)) continue;
     if (!IsWithinLimit(job.stored.team, spec.per_task)) return;
     BackendEntry* backend = Pick(*queue, spec, step, task, {});
     if (backend == nullptr) {
@@ -257,8 +283,8 @@
       if (candidate.tier != kLongRunningTier) return;
       // Reserves the emptiest backend server; otherwise smaller work would take each gap first.
       BackendEntry* emptiest = nullptr;
-      for (BackendEntry* it : PoolBackends(queue->pool)) {
-        if (!IsUsable(*it) || it->best_effort_tasks > 0) continue;
+      for (BackendEntry* it : ServersOf(queue->pool).usable) {
+        if (it->reserved || it->best_effort_tasks > 0) continue;
         if (emptiest == nullptr || it->used.cpu_millis < emptiest->used.cpu_millis) emptiest = it;
       }
       if (emptiest != nullptr) emptiest->reserved = true;
@@ -282,9 +308,9 @@
   const StepSpec& spec = candidate.job->stored.spec.steps[candidate.step];
   const StepState& step = candidate.occurrence->steps[candidate.step];
   AdviceOrder order{candidate.job->stored.id, candidate.occurrence->number, candidate.step, {}};
-  for (const BackendEntry* it : PoolBackends(queue.pool)) {
+  for (const BackendEntry* it : ServersOf(queue.pool).usable) {
     if (order.backends.size() >= kAdvicePerCall) break;
-    if (!IsUsable(*it) || !(it->used + spec.Charge()).FitsIn(it->report.capacity)) continue;
+    if (it->reserved || !spec.Charge().FitsIn(FreeOn(*it))) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
     const auto known = step.advice.find(it->report.id);
     const bool refused = known != step.advice.end() && known->second.ticket.empty();
@@ -303,8 +329,9 @@
   Resources sum;
   RunNumber run;
   std::string checkpoint;
+  const bool runs_known = !job.inherited || AllRunsKnown(queue.pool);
   for (const TaskState& it : step.tasks) {
-    if (!MayStart(job, queue.pool, it)) return;
+    if (!MayStart(it, runs_known)) return;
     sum += spec.per_task;
     run = std::max(run, NextRun(it));
     if (it.checkpoint > checkpoint) checkpoint = it.checkpoint;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -102,6 +102,8 @@
 
 struct JobEntry {
   StoredJob stored;
+  // The job's queue in the present configuration; null if there is none.
+  const QueuePolicy* queue = nullptr;
   JobProgress progress;
   std::map<int, OccurrenceState> open;
   // Number of the next occurrence to open.
@@ -207,9 +209,10 @@
   void CloseOpenTasks(JobEntry& job);
   void MarkDirty(JobEntry& job);
   TaskRef Find(const TaskKey& key);
-  [[nodiscard]] const QueuePolicy* QueueOf(const JobEntry& job) const;
   [[nodiscard]] std::uint64_t WrittenUpTo() const;
-  void AcknowledgeEnds();
+  // Allows the ends on a backend server to be acknowledged whose changes are among the first
+  // `written` ones.
+  static void AcknowledgeEnds(BackendEntry& backend, std::uint64_t written);
 
   // dispatcher_backends.cc
   void Charge(const TaskKey& key, const TaskRef& ref, BackendEntry& backend);
@@ -261,6 +264,15 @@
     OccurrenceState* occurrence = nullptr;
     int step = 0;
   };
+  // The backend servers of a pool that may get work in the present placement round.
+  struct PoolServers {
+    std::vector<BackendEntry*> usable;
+    // No usable server has more than this free, component by component.
+    Resources largest_free;
+  };
+  const PoolServers& ServersOf(const PoolId& pool);
+  // What is left of a backend server's capacity.
+  [[nodiscard]] static Resources FreeOn(const BackendEntry& backend);
   void Place();
   void CollectCandidates(std::vector<Candidate>& candidates);
   void PlaceStep(const Candidate& candidate);
@@ -278,12 +290,12 @@
                                    UnixMillis wall);
   [[nodiscard]] bool IsWithinLimit(const TeamId& team, const Resources& more) const;
   [[nodiscard]] bool AllRunsKnown(const PoolId& pool) const;
-  [[nodiscard]] bool MayStart(const JobEntry& job, const PoolId& pool, const TaskState& task) const;
+  // `runs_known` is whether no run of the job can be unknown.
+  [[nodiscard]] bool MayStart(const TaskState& task, bool runs_known) const;
   // Updates unknown_pools and inherited_use, for one placement round.
   void UpdateInherited();
   void StartTask(const TaskKey& key, const TaskRef& ref, BackendEntry& backend, RunNumber run);
   [[nodiscard]] RunNumber NextRun(const TaskState& task) const;
-  const std::vector<BackendEntry*>& PoolBackends(const PoolId& pool);
 
   void Report(DecisionKind kind, const JobId& job, const std::string& task,
               const BackendId& backend, RunNumber run, std::string detail) const {
@@ -302,8 +314,9 @@
   // Backend servers with starts or stops that may have to be repeated.
   std::set<BackendId> retry_backends;
   std::map<BackendId, std::unique_ptr<BackendEntry>> backends;
-  std::map<PoolId, std::vector<BackendEntry*>> pool_index;
-  bool pool_index_valid = false;
+  // As of the present placement round.
+  std::map<PoolId, PoolServers> pool_servers;
+  bool pool_servers_valid = false;
   std::map<TeamId, Resources> team_use;
   std::map<PoolId, std::int64_t> arrived_work;
   ShareMeter share_meter;
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -38,6 +38,28 @@
   LONGS_EQUAL(8, starts.size());
 }
 
+// Guards against an owner that is late with everything because jobs wait: while a pool is full, a
+// placement round compares each of its servers at most once, however many jobs wait.
+TEST(Dispatcher, WaitingJobsOfAFullPoolCostNoComparisonsOfServers) {
+  constexpr int kServers = 20;
+  for (int n = 0; n < kServers; ++n) AddBackend(("s" + std::to_string(n)).c_str());
+  AddJob("full", {Step(2 * kServers, 4000)});
+  Advance(300);
+  LONGS_EQUAL(2 * kServers, starts.size());
+  for (int n = 0; n < 300; ++n) AddJob(("w" + std::to_string(n)).c_str(), {Step(5, 4000)});
+  const auto before = dispatcher->placement_work();
+  Advance(1000);
+  const auto after = dispatcher->placement_work();
+  LONGS_EQUAL(2 * kServers, starts.size());
+  CHECK(after.rounds > before.rounds);
+  CHECK(after.servers_compared - before.servers_compared <=
+        (after.rounds - before.rounds) * kServers);
+  // A freed server is found again.
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(300);
+  LONGS_EQUAL(2 * kServers + 1, starts.size());
+}
+
 TEST(Dispatcher, DoesNotExceedTheCapacityOfABackendServer) {
   AddBackend("b1");
   AddJob("j1", {Step(5, 3000)});
