Let a caller without a reply to its cancel accept either outcome in the fleet simulation

Trace: the cancel was sent at 14,496 ms and carried out at 14,509 ms ("cancelled by its caller"), the caller's node was killed at 14,832 ms, and the simulated call ended at 17,496 ms without a reply. A job that its caller asked to cancel may have been cancelled, so the check was wrong; it asked for the job to run on because only confirmed cancels counted. Now such a job may run or not; one with a reply (cancelled, gone, not run) is checked as before.

--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -30,6 +30,8 @@
   struct Settings {
     std::uint64_t seed = 1;
     int nodes = 3;
+    // Capability of the VM of each node, in percent; 100 for nodes that are not listed.
+    std::vector<int> capabilities;
     int backends_per_pool = 4;
     int pools = 2;
     // Rate of replies of the table service to each node; 0 if they take no time.
@@ -90,6 +92,8 @@
     bool accepted = false;
     std::int64_t accepted_at = 0;
     bool cancelled = false;
+    // A cancel was sent that has no reply, or one that does not tell whether it was carried out.
+    bool cancel_unknown = false;
     std::string state;
     std::map<std::string, int> failed;
     std::map<std::string, int> final_failed;
