Hand the ownership from a weak VM to a strong one that asks for it

Cause: a claim is won by whoever may write first; claim_delay only helps if strong nodes are ready at that moment, and a restarted weak holder takes its row back at once. Class of fault: a role that is assigned once and never reconsidered. The owner row now names the capability of the holder's VM. A node on a much more capable VM that sees the holder renew writes its id into the row; the holder finds it at its next conditional write, waits for open VM orders, and releases the row to it. The request changes no lease, and nobody asks a silent holder.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -112,6 +112,8 @@
       return Event::kPlatformUnavailable;
     case NodeEvent::kOwnershipTaken:
       return Event::kOwnershipTaken;
+    case NodeEvent::kOwnershipRequested:
+      return Event::kOwnershipRequested;
     case NodeEvent::kOwnershipLost:
       return Event::kOwnershipLost;
     case NodeEvent::kOwnershipEnded:
@@ -194,6 +196,16 @@
   return Millis(static_cast<std::int64_t>(kDelayMs * (1 - strength)));
 }
 
+// How much of what the owner of 540 backend servers needs the VM has, in percent.
+int Capability(const platform::DeploymentSettings& deployment) {
+  constexpr double kFullCores = 0.5;
+  constexpr double kFullMbps = 50;
+  constexpr double kPercent = 100;
+  const double share =
+      std::min({1.0, deployment.cores / kFullCores, deployment.link_mbps / kFullMbps});
+  return static_cast<int>(kPercent * share);
+}
+
 EntryNode::Settings NodeSettings(const platform::DeploymentSettings& deployment,
                                  const NodeId& self) {
   EntryNode::Settings settings;
@@ -208,6 +220,7 @@
   settings.lease.self = self;
   settings.lease.started = WallClock();
   settings.lease.claim_delay = ClaimDelay(deployment);
+  settings.lease.capability = Capability(deployment);
   settings.lease.lease = std::min(deployment.ownership_lease, kOwnershipLease);
   settings.lease.renew_interval = kRenewInterval;
   // Spreads out the takeover attempts of the nodes.
--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -23,6 +23,10 @@
   UnixMillis started;
   // Number of owners in a row, up to this one, that have not loaded the stored state.
   int loads_failed = 0;
+  // Capability of the holder's VM, see FleetLease::Settings.
+  int capability = 100;
+  // A node on a more capable VM that asked for the ownership; empty if there is none.
+  NodeId successor;
 
   [[nodiscard]] std::string Encode() const;
   // Errors: kInvalidArgument.
@@ -34,6 +38,9 @@
 // over only after it has seen the same revision for longer than that, measured on its own clock,
 // and only by a write conditional on this revision. So two nodes never act at the same time,
 // however their clocks differ.
+//
+// A node on a much more capable VM than the holder's asks for the ownership by writing its id into
+// the row. The holder then releases the row, and the node that asked claims it first.
 class FleetLease {
  public:
   struct Settings {
@@ -51,6 +58,8 @@
     // Delay of every claim by this node, so that VMs with more processors and a faster link claim
     // first.
     Millis claim_delay{0};
+    // How much of the resources that an owner needs the VM has, in percent, 0 to 100.
+    int capability = 100;
   };
   // A conditional write of the row, to be sent to the table service by the caller.
   struct Write {
@@ -67,6 +76,8 @@
   // `store_delay` is the present delay of the table service's replies; it extends the wait, so that
   // a holder's renewal is not missed while the service is slow.
   [[nodiscard]] std::optional<Write> Claim(MonotonicTime now, Millis store_delay = Millis(0));
+  // The write by which this node asks the holder for the ownership, if it is due.
+  [[nodiscard]] std::optional<Write> Request(MonotonicTime now);
   [[nodiscard]] bool RenewalDue(MonotonicTime now) const;
   // The write by which the owner renews its lease.
   [[nodiscard]] Write Renewal() const;
@@ -75,9 +86,11 @@
 
   // A claim, renewal or release that was sent at `sent` succeeded with a new revision.
   void OnWriteSucceeded(const OwnerRow& row, Revision revision, MonotonicTime sent);
-  // A claim or renewal was refused or its outcome is unknown. The row has to be read again before
-  // the next claim.
+  // A claim, request or renewal was refused or its outcome is unknown. The row has to be read again
+  // before the next claim or request.
   void OnWriteFailed();
+  // A request was written with a new revision.
+  void OnRequestWritten(const OwnerRow& row, Revision revision, MonotonicTime now);
   // The owner has loaded the stored state; its next renewal says so.
   void MarkLoaded();
   // This node claims nothing before `until`.
@@ -86,6 +99,10 @@
   void StepDown();
 
   [[nodiscard]] bool owner() const noexcept { return owner_; }
+  // Whether another node has asked this owner for the ownership.
+  [[nodiscard]] bool asked_to_release() const noexcept {
+    return owner_ && row_ && !row_->successor.empty();
+  }
   // Whether this node may send orders at `now`.
   [[nodiscard]] bool MayAct(MonotonicTime now) const noexcept {
     return owner_ && now < valid_until_;
@@ -110,6 +127,10 @@
   bool owner_ = false;
   // When the present revision was first seen by this node.
   MonotonicTime revision_seen_at_;
+  // When the present token was first seen, and whether it has been renewed since.
+  MonotonicTime token_seen_at_;
+  bool renewal_seen_ = false;
+  MonotonicTime next_request_;
   MonotonicTime renewed_at_;
   MonotonicTime valid_until_;
   MonotonicTime back_off_until_;
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -51,6 +51,7 @@
   kStoreAvailable,
   kStoreUnavailable,
   kOwnershipTaken,
+  kOwnershipRequested,
   kOwnershipLost,
   kOwnershipEnded,
   kLoaded,
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -159,10 +159,35 @@
                      }));
 }
 
+void EntryNode::Impl::RequestOwnership(MonotonicTime now) {
+  if (stopping || claiming || !admission_controller.Ready(now) || !config_reachable) return;
+  const auto write = lease.Request(now);
+  if (!write) return;
+  claiming = true;
+  RowTransaction tx;
+  tx.expected.emplace_back(rows::Owner(), write->expected);
+  tx.writes.emplace_back(rows::Owner(), write->row.Encode());
+  ReportEvent(NodeEvent::kOwnershipRequested,
+              "token " + std::to_string(write->row.token.count()) + " holder " +
+                  write->row.holder.str() + " capability " + std::to_string(write->row.capability) +
+                  " here " + std::to_string(settings.lease.capability));
+  ports.store.Commit(tx, kStoreTimeout,
+                     Guard<const RowsReply&>([this, row = write->row](const RowsReply& reply) {
+                       claiming = false;
+                       if (reply.outcome == StoreOutcome::kDone) {
+                         lease.OnRequestWritten(row, reply.newest, ports.now());
+                         return;
+                       }
+                       owner_read = false;
+                       lease.OnWriteFailed();
+                     }));
+}
+
 void EntryNode::Impl::Tick(MonotonicTime now) {
   PollConfig(now);
   PollOwner(now);
   ClaimOwnership(now);
+  RequestOwnership(now);
   if (lease.owner() && !owner) {
     owner = std::make_unique<FleetOwner>(settings.owner, ports, lease);
     owner->SetConfig(admission_controller.config());
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -45,6 +45,8 @@
   void PollOwner(MonotonicTime now);
   void ApplyOwnerRow(const RowsReply& reply, bool full_read);
   void ClaimOwnership(MonotonicTime now);
+  // Asks an owner on a much weaker VM for the ownership.
+  void RequestOwnership(MonotonicTime now);
 
   // entry_node_calls.cc
   void Handle(const CallerCall& call, Respond respond);
--- a/coordination/src/fleet_lease.cc
+++ b/coordination/src/fleet_lease.cc
@@ -11,6 +11,14 @@
 // A node id consists of the VM id, a '#' and the incarnation of the process.
 std::string VmOf(const NodeId& node) { return node.str().substr(0, node.str().find('#')); }
 
+constexpr int kFullCapability = 100;
+// A change of owner interrupts the placement of work, so small differences do not justify one.
+constexpr int kMinCapabilityGain = 25;
+// Interval of requests for the ownership by one node; a request is refused if it meets a renewal.
+constexpr Millis kRequestInterval{1000};
+// Time by which other nodes let the successor that a released row names claim it first.
+constexpr Millis kSuccessorTime{500};
+
 }  // namespace
 
 std::string OwnerRow::Encode() const {
@@ -20,6 +28,8 @@
   row["started"] = started.count();
   if (released) row["released"] = true;
   if (loads_failed != 0) row["loads_failed"] = loads_failed;
+  if (capability != kFullCapability) row["capability"] = capability;
+  if (!successor.empty()) row["successor"] = successor.str();
   return boost::json::serialize(row);
 }
 
@@ -36,12 +46,27 @@
   constexpr std::int64_t kMaxLoadsFailed = 1000;
   const std::int64_t loads_failed = IntField(object, "loads_failed");
   row.loads_failed = static_cast<int>(std::clamp<std::int64_t>(loads_failed, 0, kMaxLoadsFailed));
+  if (object.contains("capability")) {
+    BOOST_OUTCOME_TRY(const std::int64_t capability,
+                      RequireInt(object, "capability", 0, kFullCapability));
+    row.capability = static_cast<int>(capability);
+  }
+  if (object.contains("successor")) {
+    BOOST_OUTCOME_TRY(const std::string successor, RequireText(object, "successor"));
+    row.successor = NodeId(successor);
+  }
   return row;
 }
 
 void FleetLease::Observe(const std::optional<OwnerRow>& row, Revision revision, MonotonicTime now) {
   if (ever_observed_ && revision < revision_) return;
   if (!ever_observed_ || revision != revision_) revision_seen_at_ = now;
+  if (row && row_ && row->token == row_->token) {
+    renewal_seen_ = renewal_seen_ || revision != revision_;
+  } else {
+    token_seen_at_ = now;
+    renewal_seen_ = false;
+  }
   observed_ = true;
   ever_observed_ = true;
   revision_ = revision;
@@ -52,7 +77,9 @@
 MonotonicTime FleetLease::ClaimableAt(Millis store_delay) const {
   if (!row_) return revision_seen_at_ + settings_.claim_delay;
   if (row_->released) {
-    const Millis delay = settings_.started > row_->started ? Millis(0) : settings_.older_node_delay;
+    if (row_->successor == settings_.self) return revision_seen_at_;
+    Millis delay = settings_.started > row_->started ? Millis(0) : settings_.older_node_delay;
+    if (!row_->successor.empty()) delay = kSuccessorTime;
     return revision_seen_at_ + delay + settings_.claim_delay;
   }
   // A VM runs only one process of the daemon, so an earlier one has ended. A row with this node's
@@ -72,8 +99,29 @@
   claiming_ = true;
   const std::uint64_t token = row_ ? row_->token.count() + 1 : 1;
   const int loads_failed = (row_ ? row_->loads_failed : 0) + 1;
-  return Write{OwnerRow{settings_.self, Epoch(token), false, settings_.started, loads_failed},
-               revision_};
+  const OwnerRow row{settings_.self, Epoch(token),         false,   settings_.started,
+                     loads_failed,   settings_.capability, NodeId()};
+  return Write{row, revision_};
+}
+
+std::optional<FleetLease::Write> FleetLease::Request(MonotonicTime now) {
+  if (!observed_ || owner_ || claiming_ || !row_ || now < next_request_) return std::nullopt;
+  if (row_->released || !row_->successor.empty() || now < back_off_until_) return std::nullopt;
+  if (settings_.capability < row_->capability + kMinCapabilityGain) return std::nullopt;
+  // A request changes the revision, so it would delay the takeover from a holder that has failed.
+  const bool alive = renewal_seen_ && now < revision_seen_at_ + 2 * settings_.renew_interval;
+  const MonotonicTime due = token_seen_at_ + settings_.takeover_margin + settings_.claim_delay;
+  if (!alive || now < due) return std::nullopt;
+  claiming_ = true;
+  next_request_ = now + kRequestInterval;
+  Write write{*row_, revision_};
+  write.row.successor = settings_.self;
+  return write;
+}
+
+void FleetLease::OnRequestWritten(const OwnerRow& row, Revision revision, MonotonicTime now) {
+  claiming_ = false;
+  Observe(row, revision, now);
 }
 
 bool FleetLease::RenewalDue(MonotonicTime now) const {
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -199,8 +199,18 @@
   reported_work = work;
 }
 
+// Releases the ownership to the node that asked for it, once no order to a VM is open: until then
+// work is placed.
+void FleetOwner::Impl::FollowRequest() {
+  if (releasing || !lease.asked_to_release() || open_vm_orders > 0) return;
+  ReportEvent(NodeEvent::kOwnershipRequested,
+              "released to " + lease.row()->successor.str() + " which asked for it");
+  releasing = true;
+}
+
 void FleetOwner::Impl::Tick(MonotonicTime now) {
   RunScheduled(now);
+  FollowRequest();
   if (!running) {
     if (!loading && now >= retry_load) Load();
     if (!releasing && now - taken_at > kLoadTime * lease.row()->loads_failed) {
@@ -224,7 +234,7 @@
   PollFeed(
       registry_feed, [this](const StoredRow& row) { ApplyBackendRow(row); },
       [this] { ResyncRegistry(); });
-  if (may_order && ports.vms != nullptr) {
+  if (may_order && ports.vms != nullptr && !lease.asked_to_release()) {
     ListVms();
     SendFence();
     if (now >= next_autoscale) {
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -90,6 +90,7 @@
   void SendFence();
   void Tick(MonotonicTime now);
   // Logs what the pools need and have, and what placement cost, once in kLoadReportInterval.
+  void FollowRequest();
   void ReportLoad(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now);
   void ReportEvent(NodeEvent event, const std::string& detail) const {
     if (ports.on_event) ports.on_event(event, detail);
--- a/coordination/tests/fleet_lease_test.cc
+++ b/coordination/tests/fleet_lease_test.cc
@@ -89,6 +89,69 @@
   LONGS_EQUAL(0, lease.Renewal().row.loads_failed);
 }
 
+// Guards against a weak VM that keeps the ownership while strong ones are up: they ask for it, and
+// the one that the released row names claims it first.
+TEST(FleetLease, AMoreCapableNodeAsksForTheOwnershipAndClaimsItFirst) {
+  FleetLease::Settings settings;
+  settings.self = NodeId("strong#1");
+  settings.takeover_margin = Millis(300);
+  FleetLease strong(settings);
+  settings.self = NodeId("other#1");
+  FleetLease other(settings);
+  OwnerRow row = Row("weak#1", 3);
+  row.capability = 24;
+  strong.Observe(row, Revision(7), At(0));
+  other.Observe(row, Revision(7), At(0));
+  // The holder may have failed; a request would delay the takeover.
+  CHECK_FALSE(strong.Request(At(400)).has_value());
+  strong.Observe(row, Revision(8), At(500));
+  const auto request = strong.Request(At(500));
+  CHECK(request.has_value());
+  CHECK(request->expected == Revision(8));
+  CHECK(request->row.holder == row.holder);
+  CHECK(request->row.token == row.token);
+  CHECK(request->row.successor == NodeId("strong#1"));
+  strong.OnRequestWritten(request->row, Revision(9), At(510));
+  other.Observe(request->row, Revision(9), At(510));
+  CHECK_FALSE(other.Request(At(600)).has_value());
+  OwnerRow released = OwnerRow::Decode(request->row.Encode()).value();
+  LONGS_EQUAL(24, released.capability);
+  released.released = true;
+  other.Observe(released, Revision(10), At(700));
+  strong.Observe(released, Revision(10), At(700));
+  CHECK_FALSE(other.Claim(At(1100)).has_value());
+  const auto claim = strong.Claim(At(700));
+  CHECK(claim.has_value());
+  CHECK(claim->row.successor.empty());
+  LONGS_EQUAL(100, claim->row.capability);
+  // A successor that has failed meanwhile does not block the others.
+  CHECK(other.Claim(At(1200)).has_value());
+}
+
+TEST(FleetLease, NodesOfAboutTheSameCapabilityDoNotAskForTheOwnership) {
+  FleetLease lease = NewLease("a#1");
+  OwnerRow row = Row("b#1", 3);
+  row.capability = 80;
+  lease.Observe(row, Revision(7), At(0));
+  lease.Observe(row, Revision(8), At(500));
+  CHECK_FALSE(lease.Request(At(900)).has_value());
+}
+
+// Guards against a request that ends or prolongs the holder's ownership by itself.
+TEST(FleetLease, ARequestDoesNotChangeTheLeaseOfTheHolder) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(std::nullopt, Revision(), At(10));
+  lease.OnWriteSucceeded(lease.Claim(At(10))->row, Revision(5), At(10));
+  CHECK_FALSE(lease.asked_to_release());
+  OwnerRow asked = *lease.row();
+  asked.successor = NodeId("b#1");
+  lease.Observe(asked, Revision(6), At(1000));
+  CHECK(lease.asked_to_release());
+  CHECK(lease.MayAct(At(2009)));
+  CHECK_FALSE(lease.MayAct(At(2010)));
+  CHECK(lease.Release().row.successor == NodeId("b#1"));
+}
+
 TEST(FleetLease, TakesAnAbsentRowAtOnceAndActsForTheLease) {
   FleetLease lease = NewLease("a#1");
   CHECK_FALSE(lease.Claim(At(0)).has_value());
@@ -181,4 +244,5 @@
   CHECK(again.value().token == Epoch(12));
   CHECK(again.value().released);
   CHECK_FALSE(OwnerRow::Decode("{}").has_value());
+  CHECK_FALSE(OwnerRow::Decode(R"({"holder":"a#1","token":1,"capability":"much"})").has_value());
 }
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -209,6 +209,37 @@
   for (const auto& it : sim.Violations()) FAIL(it.c_str());
 }
 
+// Guards against a weak VM that keeps the ownership while strong ones are up: its node is the first
+// to start, and has to be the owner for no longer than a takeover takes.
+TEST(FleetSchedule, AStrongNodeTakesOverFromAWeakOne) {
+  FleetSim::Settings settings;
+  settings.capabilities = {20};
+  FleetSim sim(settings);
+  sim.KillNode(1);
+  sim.KillNode(2);
+  sim.RunUntil(1000);
+  LONGS_EQUAL(0, sim.OwnerNode());
+  sim.StartNode(1);
+  sim.StartNode(2);
+  for (int n = 0; n < 40; ++n) sim.At(1000 + 100 * n, [&sim] { sim.SubmitRandomJob(); });
+  sim.RunUntil(4500);
+  CHECK(sim.OwnerNode() > 0);
+  sim.RunUntil(40'000);
+  CHECK(sim.OwnerNode() > 0);
+  for (auto& [id, job] : sim.jobs) sim.Poll(job);
+  sim.RunUntil(41'000);
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+  for (const auto& it : sim.Unfinished()) FAIL(it.c_str());
+}
+
+// Two of three nodes are weak, so that takeovers and requests for the ownership meet.
+TEST(FleetSchedule, WeakAndStrongNodesAreKilled) {
+  FleetSim::Settings settings;
+  settings.capabilities = {20, 20, 100};
+  settings.faults = {0.03, 0.02, 0.03, 0.02};
+  RunSeeds(settings, [](FleetSim& sim, int) { KillOwner(sim); });
+}
+
 TEST(FleetSchedule, AllFaultsTogether) {
   FleetSim::Settings settings;
   settings.faults = {0.03, 0.02, 0.03, 0.02};
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -99,6 +99,9 @@
   settings.lease.self = settings.self;
   settings.lease.started = UnixMillis(kEpoch + now_);
   settings.lease.takeover_margin = Millis(300 + 100 * n);
+  if (n < static_cast<int>(settings_.capabilities.size())) {
+    settings.lease.capability = settings_.capabilities[n];
+  }
   node.entry = std::make_unique<EntryNode>(settings, ports);
 }
 
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -58,6 +58,7 @@
   kOwnerLoaded = 803,
   kOwnerFenced = 804,
   kFleetLoad = 805,
+  kOwnershipRequested = 806,
   kCallAccepted = 810,
   kCallCancelled = 811,
   kCallRefused = 812,
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -113,6 +113,11 @@
        "A backend server saw a higher fencing token than this owner's.", kNone},
       {Event::kFleetLoad, kInfo, "fleet-load",
        "What the owner's pools need and have, and what placement cost in the last second.", kNone},
+      {Event::kOwnershipRequested, kInfo, "ownership-requested",
+       "A node asks the owner, which is on a much weaker VM, for the ownership, or the owner "
+       "follows "
+       "such a request.",
+       kNone},
       {Event::kCallAccepted, kInfo, "call-accepted", "A job was stored and acknowledged.", kNone},
       {Event::kCallCancelled, kInfo, "call-cancelled", "The cancellation of a job was stored.",
        kNone},
