End a stopped process without the destructors of static objects

Marks of an earlier trial: all objects of the daemon's main function are destroyed 0.4 ms after "stopped"; the wait is in destructors of static objects, first log4cplus's initializer, and with that one left out in another.

--- /dev/null
+++ b/apps/daemon/src/process_exit.cc
@@ -0,0 +1,16 @@
+#include "process_exit.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+
+namespace sapphirewheel {
+
+void ExitProcess(int status) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::fflush(nullptr);
+  std::_Exit(status);
+}
+
+}  // namespace sapphirewheel
--- /dev/null
+++ b/apps/daemon/src/process_exit.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace sapphirewheel {
+
+// Flushes the standard streams and ends the process at once, without the destructors of static
+// objects. Some libraries wait there for threads of their own, for longer than the platform lets a
+// stopped process live.
+[[noreturn]] void ExitProcess(int status);
+
+}  // namespace sapphirewheel
