Keep the servers of a pool in the order of what is free, so that a start compares few

A round keeps the usable servers in the order of their free processors and begins with the fullest that has room; it ends at the first one that no other can beat. With servers of one size the choice is as before; with several, the one with the least room is taken in place of the one with the largest used fraction.

--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -52,6 +52,22 @@
           std::max(a.accelerators, b.accelerators)};
 }
 
+// The highest suitability that a backend server can have for a task of a step.
+std::int64_t BestSuitability(const StepSpec& spec) {
+  std::int64_t best = kNotPenalized + kNotAvoided + kNotFailedThere;
+  if (!spec.near_rack.empty()) best += kNearData;
+  if (spec.one_rack) best += kSameRack;
+  if (spec.long_running) best += kBesideLongRunning;
+  return best;
+}
+
+std::int64_t Fullness(const BackendEntry& backend) {
+  const std::int64_t capacity = backend.report.capacity.cpu_millis;
+  return capacity > 0 ? kFullness * backend.used.cpu_millis / capacity : 0;
+}
+
+constexpr auto kHasLessFree = [](const auto& a, const auto& b) { return a.free_cpu < b.free_cpu; };
+
 bool IsWithin(std::int64_t use, std::int64_t limit) { return limit == 0 || use <= limit; }
 
 }  // namespace
@@ -62,20 +78,36 @@
   return free;
 }
 
-const Dispatcher::Impl::PoolServers& Dispatcher::Impl::ServersOf(const PoolId& pool) {
+Dispatcher::Impl::PoolServers& Dispatcher::Impl::ServersOf(const PoolId& pool) {
   if (!pool_servers_valid) {
     pool_servers.clear();
     for (auto& [id, backend] : backends) {
       if (!IsUsable(*backend)) continue;
       PoolServers& servers = pool_servers[backend->report.pool];
-      servers.usable.push_back(backend.get());
-      servers.largest_free = LargerOf(servers.largest_free, FreeOn(*backend));
+      const Resources free = FreeOn(*backend);
+      servers.usable.push_back({free.cpu_millis, backend.get()});
+      servers.largest_free = LargerOf(servers.largest_free, free);
+    }
+    for (auto& [id, servers] : pool_servers) {
+      std::stable_sort(servers.usable.begin(), servers.usable.end(), kHasLessFree);
     }
     pool_servers_valid = true;
   }
   return pool_servers[pool];
 }
 
+void Dispatcher::Impl::UpdateFree(BackendEntry& backend, std::int64_t free_cpu) {
+  if (!pool_servers_valid) return;
+  auto& usable = ServersOf(backend.report.pool).usable;
+  const auto [first, last] =
+      std::equal_range(usable.begin(), usable.end(), FreeServer{free_cpu, nullptr}, kHasLessFree);
+  const auto it = std::find_if(
+      first, last, [&](const FreeServer& server) { return server.backend == &backend; });
+  if (it == last) return;
+  it->free_cpu = FreeOn(backend).cpu_millis;
+  std::rotate(std::lower_bound(usable.begin(), it, *it, kHasLessFree), it, it + 1);
+}
+
 bool Dispatcher::Impl::IsUsable(const BackendEntry& backend) const {
   if (!backend.registered || !backend.has_replied || backend.failing || !backend.clock) {
     return false;
@@ -86,8 +118,8 @@
                       [](const auto& it) { return it.second.unknown_size; });
 }
 
-std::int64_t Dispatcher::Impl::Score(const BackendEntry& backend, const StepSpec& spec,
-                                     const StepState& step, const TaskState& task) const {
+std::int64_t Dispatcher::Impl::Suitability(const BackendEntry& backend, const StepSpec& spec,
+                                           const StepState& step, const TaskState& task) const {
   std::int64_t score = 0;
   if (!spec.near_rack.empty() && HasLabel(backend.report, spec.near_rack)) score += kNearData;
   if (spec.one_rack) {
@@ -101,25 +133,28 @@
   if (!backend.avoided) score += kNotAvoided;
   if (task.failed_at != backend.report.id) score += kNotFailedThere;
   if (spec.long_running && backend.long_running_tasks > 0) score += kBesideLongRunning;
-  if (backend.report.capacity.cpu_millis > 0) {
-    score += kFullness * backend.used.cpu_millis / backend.report.capacity.cpu_millis;
-  }
   return score;
 }
 
 BackendEntry* Dispatcher::Impl::Pick(const QueuePolicy& queue, const StepSpec& spec,
                                      const StepState& step, const TaskState& task,
                                      const std::map<BackendEntry*, Resources>& planned) {
-  const PoolServers& servers = ServersOf(queue.pool);
+  PoolServers& servers = ServersOf(queue.pool);
   const Resources charge = spec.Charge();
   if (!charge.FitsIn(servers.largest_free)) return nullptr;
+  const std::int64_t best_suitability = BestSuitability(spec);
   BackendEntry* best = nullptr;
   std::int64_t best_score = 0;
-  Resources largest_free;
-  for (BackendEntry* it : servers.usable) {
+  auto server = std::lower_bound(servers.usable.begin(), servers.usable.end(),
+                                 FreeServer{charge.cpu_millis, nullptr}, kHasLessFree);
+  if (server == servers.usable.end()) {
+    // Nothing becomes free within a round.
+    servers.largest_free.cpu_millis = charge.cpu_millis - 1;
+  }
+  for (; server != servers.usable.end(); ++server) {
+    BackendEntry* it = server->backend;
     ++placement_work.servers_compared;
     const Resources free = FreeOn(*it);
-    largest_free = LargerOf(largest_free, free);
     if (it->reserved) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
@@ -134,14 +169,15 @@
                                       [&](const TaskState& other) { return other.backend == it; });
       if (here >= spec.per_server_limit) continue;
     }
-    const std::int64_t score = Score(*it, spec, step, task);
+    const std::int64_t suitability = Suitability(*it, spec, step, task);
+    const std::int64_t score = suitability + Fullness(*it);
     if (best == nullptr || score > best_score) {
       best = it;
       best_score = score;
     }
+    // The servers that follow have more free, so none of them is better.
+    if (suitability == best_suitability) break;
   }
-  // Nothing becomes free within a round, so the bound holds for the rest of it.
-  pool_servers[queue.pool].largest_free = largest_free;
   return best;
 }
 
@@ -197,7 +233,9 @@
 void Dispatcher::Impl::StartTask(const TaskKey& key, const TaskRef& ref, BackendEntry& backend,
                                  RunNumber run) {
   TaskState& task = *ref.task;
+  const std::int64_t free_cpu = FreeOn(backend).cpu_millis;
   Charge(key, ref, backend);
+  UpdateFree(backend, free_cpu);
   task.phase = TaskPhase::kStarting;
   task.run = run;
   task.highest_run = run;
@@ -283,7 +321,8 @@
       if (candidate.tier != kLongRunningTier) return;
       // Reserves the emptiest backend server; otherwise smaller work would take each gap first.
       BackendEntry* emptiest = nullptr;
-      for (BackendEntry* it : ServersOf(queue->pool).usable) {
+      for (const FreeServer& server : ServersOf(queue->pool).usable) {
+        BackendEntry* it = server.backend;
         if (it->reserved || it->best_effort_tasks > 0) continue;
         if (emptiest == nullptr || it->used.cpu_millis < emptiest->used.cpu_millis) emptiest = it;
       }
@@ -308,7 +347,8 @@
   const StepSpec& spec = candidate.job->stored.spec.steps[candidate.step];
   const StepState& step = candidate.occurrence->steps[candidate.step];
   AdviceOrder order{candidate.job->stored.id, candidate.occurrence->number, candidate.step, {}};
-  for (const BackendEntry* it : ServersOf(queue.pool).usable) {
+  for (const FreeServer& server : ServersOf(queue.pool).usable) {
+    const BackendEntry* it = server.backend;
     if (order.backends.size() >= kAdvicePerCall) break;
     if (it->reserved || !spec.Charge().FitsIn(FreeOn(*it))) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -265,12 +265,19 @@
     int step = 0;
   };
   // The backend servers of a pool that may get work in the present placement round.
+  struct FreeServer {
+    std::int64_t free_cpu = 0;
+    BackendEntry* backend = nullptr;
+  };
   struct PoolServers {
-    std::vector<BackendEntry*> usable;
+    // In ascending order of their free processors.
+    std::vector<FreeServer> usable;
     // No usable server has more than this free, component by component.
     Resources largest_free;
   };
-  const PoolServers& ServersOf(const PoolId& pool);
+  PoolServers& ServersOf(const PoolId& pool);
+  // Keeps the order of the pool's servers after `backend`, which had `free_cpu` before, got a task.
+  void UpdateFree(BackendEntry& backend, std::int64_t free_cpu);
   // What is left of a backend server's capacity.
   [[nodiscard]] static Resources FreeOn(const BackendEntry& backend);
   void Place();
@@ -283,8 +290,9 @@
   BackendEntry* Pick(const QueuePolicy& queue, const StepSpec& spec, const StepState& step,
                      const TaskState& task, const std::map<BackendEntry*, Resources>& planned);
   [[nodiscard]] bool IsUsable(const BackendEntry& backend) const;
-  [[nodiscard]] std::int64_t Score(const BackendEntry& backend, const StepSpec& spec,
-                                   const StepState& step, const TaskState& task) const;
+  // How well a backend server suits a task, apart from how full it is; larger is better.
+  [[nodiscard]] std::int64_t Suitability(const BackendEntry& backend, const StepSpec& spec,
+                                         const StepState& step, const TaskState& task) const;
   // Whether an occurrence can no longer meet its target completion time.
   [[nodiscard]] static bool IsLate(const QueuePolicy& queue, const OccurrenceState& occurrence,
                                    UnixMillis wall);
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -60,6 +60,39 @@
   LONGS_EQUAL(2 * kServers + 1, starts.size());
 }
 
+// Guards against an owner that is late because it starts many short tasks: with room for all, a
+// start compares a few servers and not all of the pool.
+TEST(Dispatcher, StartsCompareFewServersOfALargePool) {
+  constexpr int kServers = 200;
+  constexpr int kTasks = 2 * kServers;
+  for (int n = 0; n < kServers; ++n) AddBackend(("s" + std::to_string(n)).c_str());
+  Advance(300);
+  for (int n = 0; n < kTasks / 4; ++n) AddJob(("j" + std::to_string(n)).c_str(), {Step(4, 3900)});
+  Advance(300);
+  LONGS_EQUAL(kTasks, starts.size());
+  constexpr std::uint64_t kMaxPerStart = 4;
+  CHECK(dispatcher->placement_work().servers_compared <= kMaxPerStart * kTasks);
+}
+
+// A start takes the fullest server that has room, so that the others become idle.
+TEST(Dispatcher, FillsTheFullestBackendServerThatHasRoom) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddBackend("b3");
+  AddJob("j1", {Step(1, 5000)});
+  Advance(100);
+  AddJob("j2", {Step(1, 4000)});
+  Advance(100);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[0].backend != starts[1].backend);
+  AddJob("j3", {Step(1, 3000)});
+  Advance(100);
+  CHECK(starts[2].backend == starts[0].backend);
+  AddJob("j4", {Step(1, 3000)});
+  Advance(100);
+  CHECK(starts[3].backend == starts[1].backend);
+}
+
 TEST(Dispatcher, DoesNotExceedTheCapacityOfABackendServer) {
   AddBackend("b1");
   AddJob("j1", {Step(5, 3000)});
