Give no work to a server that a roster being written gives up

Cause: while a roster without a silent server is on its way to the table service, the server replies and gets a start or a longer lease; if the owner then fails, its successor believes the roster. Repeated starts did not look at the roster at all. Class of fault: acting on a state whose withdrawal is under way. Servers that an unconfirmed roster gives up now get no start, no repeated start and no longer lease until a roster with them has been written; other starts do not wait.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -202,6 +202,9 @@
   // The backend servers that may be given work, if they differ from the roster written last. A
   // backend server gets work only after the roster that contains it has been written.
   [[nodiscard]] std::optional<Roster> RosterToWrite() const;
+  // A write of the roster was sent. From then on a successor may believe it, so the backend servers
+  // that it gives up get no work until a later roster with them has been written.
+  void RosterSent(const Roster& roster);
   void RosterWritten(const Roster& roster);
 
   void UpsertBackend(const BackendReport& report, MonotonicTime now);
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -52,11 +52,20 @@
       roster[id] = {backend->report.pool, backend->lease_end};
     }
   }
-  if (impl_->roster_ever_written && roster == impl_->roster_written) return std::nullopt;
+  const bool certain = impl_->roster_ever_written && impl_->given_up.empty();
+  if (certain && roster == impl_->roster_written) return std::nullopt;
   return roster;
 }
 
+void Dispatcher::RosterSent(const Roster& roster) {
+  for (const auto& [id, entry] : impl_->roster_written) {
+    const auto it = roster.find(id);
+    if (it == roster.end() || it->second.runs_end_by) impl_->given_up.insert(id);
+  }
+}
+
 void Dispatcher::RosterWritten(const Roster& roster) {
+  impl_->given_up.clear();
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
   impl_->place_due = true;
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -24,7 +24,8 @@
 
 bool Dispatcher::Impl::IsInRoster(const BackendEntry& backend) const {
   const auto it = roster_written.find(backend.report.id);
-  return it != roster_written.end() && !it->second.runs_end_by;
+  const bool listed = it != roster_written.end() && !it->second.runs_end_by;
+  return listed && given_up.count(backend.report.id) == 0;
 }
 
 void Dispatcher::Impl::SendPoll(BackendEntry& backend) {
@@ -96,6 +97,8 @@
     if (starting) {
       // Only after a poll: another incarnation would take the lease as a time on its own clock.
       if (backend.failing || !backend.has_replied || !backend.clock) continue;
+      // A repeated start extends the lease, so the roster must not say that it ends.
+      if (!IsInRoster(backend)) continue;
       task.lease_until = NewLeaseEnd(backend);
       SendStart(key, ref);
     } else if (stopping) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -336,6 +336,8 @@
   std::map<TeamId, Resources> inherited_use;
   Roster roster_written;
   bool roster_ever_written = false;
+  // Backend servers that a roster without a confirmed write gives up.
+  std::set<BackendId> given_up;
   // Sequence number of the last change of any job's progress.
   std::uint64_t last_change = 0;
   // Changed jobs by the sequence number of their oldest unwritten change.
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -62,6 +62,7 @@
   }
   const auto waves_sent = wave_rows;
   committing = true;
+  if (new_roster) dispatcher->RosterSent(*new_roster);
   const Millis timeout = std::clamp(kTimeoutFactor * commit_time, kMinCommitTimeout, kStoreTimeout);
   ports.store.Commit(
       tx, timeout,
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -23,6 +23,57 @@
   CHECK(starts[1].backend == BackendId("b2"));
 }
 
+// Guards against a second run of a task after a change of owner: a roster that is being written
+// says that a server has no more runs, the server replies and gets a task, and the successor
+// believes the roster.
+TEST(DispatcherRecovery, StartsNothingOnAServerThatARosterBeingWrittenGivesUp) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(300);
+  AddJob("j2", {Step(1, 1000)});
+  silent.insert(BackendId("b1"));
+  // The start has no reply, and the server is no longer trusted.
+  std::optional<Roster> roster;
+  for (int n = 0; n < 500 && !roster; ++n) {
+    dispatcher->Tick(Now(), true);
+    for (const StartOrder& it : starts) {
+      if (it.task.job == JobId("j2")) dispatcher->OnStart(it, OrderReply{}, Now());
+    }
+    const auto due = std::move(polls);
+    polls.clear();
+    for (const PollOrder& it : due) ReplyTo(it);
+    now_ms += 20;
+    roster = dispatcher->RosterToWrite();
+  }
+  CHECK(roster.has_value());
+  CHECK(roster->count(BackendId("b1")) == 0 || roster->at(BackendId("b1")).runs_end_by);
+  dispatcher->RosterSent(*roster);
+  silent.clear();
+  AddJob("j3", {Step(1, 1000)});
+  const std::size_t before = starts.size();
+  const auto run = [this] {
+    for (int n = 0; n < 100; ++n) {
+      dispatcher->Tick(Now(), true);
+      const auto due = std::move(polls);
+      polls.clear();
+      for (const PollOrder& it : due) {
+        CHECK_FALSE(it.lease_until.has_value());
+        ReplyTo(it);
+      }
+      now_ms += 20;
+    }
+  };
+  run();
+  LONGS_EQUAL(before, starts.size());
+  // Without a reply the roster may still be written, so the one that follows has to be confirmed.
+  CHECK(dispatcher->RosterToWrite().has_value());
+  Advance(300);
+  CHECK(starts.size() > before);
+}
+
 // A task whose backend server does not reply may be unavailable.
 TEST(DispatcherRecovery, MovesNoLongRunningTaskWhileAnotherMayBeUnavailable) {
   AddBackend("b1");
