--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -74,6 +74,26 @@
   CHECK(starts.size() > before);
 }
 
+// Guards against running work that is given up because the owner, which could not renew its
+// ownership for some seconds, has not polled meanwhile: a task is stuck only if replies show no
+// progress.
+TEST(DispatcherRecovery, TasksAreNotStuckBecauseTheOwnerDidNotPoll) {
+  AddBackend("b1");
+  AddJob("j1", {Step(3, 1000)});
+  Advance(500);
+  LONGS_EQUAL(3, starts.size());
+  // The tasks make progress in each reply.
+  for (ListedRun& it : running[BackendId("b1")]) it.percent = 1;
+  Advance(500);
+  constexpr int kPause = 4500;
+  for (const int until = now_ms + kPause; now_ms < until; now_ms += 20) {
+    dispatcher->Tick(Now(), false);
+  }
+  Advance(1500);
+  LONGS_EQUAL(0, stops.size());
+  LONGS_EQUAL(3, starts.size());
+}
+
 // A task whose backend server does not reply may be unavailable.
 TEST(DispatcherRecovery, MovesNoLongRunningTaskWhileAnotherMayBeUnavailable) {
   AddBackend("b1");
