Move long-running tasks off servers as soon as their maintenance is due

Cause: servers with long-running tasks came last, and their tasks began to leave when it was their turn; a step may lose one task at a time, which takes about 1 s, or 7 s while a dark rack holds the budget, so VMs waited for 15 s and more ("freeing" at 8.0 s, "ordered" at 26.2 s). Class of fault: serial work that starts last. Servers that are due for maintenance now give up their long-running tasks from the start of the wave, within the budget and only to servers that are not due; they go on with short work, and the pool gets a VM for each that has such tasks. Red before: LongRunningTasksLeaveAServerThatIsDueForMaintenance and AddsVmsForLongRunningTasksOfServersThatAreDueForMaintenance (no stop, no move). 224 coordination tests pass.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -259,6 +259,7 @@
     Resources capacity;
     bool usable = false;
     bool evacuating = false;
+    bool avoided = false;
   };
   [[nodiscard]] std::vector<BackendView> Backends() const;
 
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -123,7 +123,9 @@
   if (check_stuck) impl_->next_stuck_check = now + kStuckCheckInterval;
   for (auto& [id, backend] : impl_->backends) {
     if (check_stuck) impl_->StopStuckTasks(*backend);
-    if (backend->evacuating || backend->report.draining) impl_->Evacuate(*backend);
+    if (backend->evacuating || backend->report.draining || backend->avoided) {
+      impl_->Evacuate(*backend);
+    }
   }
   const std::vector<BackendId> retry_backends(impl_->retry_backends.begin(),
                                               impl_->retry_backends.end());
@@ -220,7 +222,7 @@
     views.push_back({id, backend->report.vm, backend->report.pool,
                      static_cast<int>(backend->tasks.size()), backend->long_running_tasks,
                      backend->IsSettled(), backend->used, backend->report.capacity, usable,
-                     backend->evacuating});
+                     backend->evacuating, backend->avoided});
   }
   return views;
 }
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -171,7 +171,9 @@
   return unavailable < ref.spec->unavailable_budget.value_or(1);
 }
 
-// Moves long-running tasks away from a backend server that is draining or due for maintenance.
+// Moves long-running tasks away from a backend server that is draining or due for maintenance. The
+// budget allows few at a time, so this begins when maintenance is due and not when it is the
+// server's turn.
 void Dispatcher::Impl::Evacuate(BackendEntry& backend) {
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
   for (const TaskKey& key : keys) {
@@ -182,9 +184,10 @@
     const QueuePolicy* queue = ref.job->queue;
     if (queue == nullptr) continue;
     const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
-    if (allowed && Pick(*queue, *ref.spec, *ref.step, *ref.task, {}) != nullptr) {
-      BeginStop(key, ref);
-    }
+    if (!allowed) continue;
+    const BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
+    const bool urgent = backend.report.draining || backend.evacuating;
+    if (target != nullptr && (urgent || !target->avoided)) BeginStop(key, ref);
   }
 }
 
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -118,9 +118,11 @@
     const bool idle = view != nullptr && view->usable && view->settled;
     if (idle && !entry.idle) entry.idle_since = now;
     entry.idle = idle;
+    // Its long-running tasks need room elsewhere.
+    const bool leaving = view != nullptr && view->avoided && view->long_running_tasks > 0;
     if (entry.target) {
       ++pools_[*entry.target].incoming;
-    } else if (view != nullptr && view->usable && !view->evacuating) {
+    } else if (view != nullptr && view->usable && !view->evacuating && !leaving) {
       PoolState& pool = pools_[view->pool];
       ++pool.present;
       const double cores = static_cast<double>(view->capacity.cpu_millis) / kMillisPerCore;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -94,6 +94,34 @@
   LONGS_EQUAL(3, starts.size());
 }
 
+// Guards against maintenance that is late because long-running tasks, of which only one at a time
+// may move, begin to leave a server when it is the server's turn.
+TEST(DispatcherRecovery, LongRunningTasksLeaveAServerThatIsDueForMaintenance) {
+  AddBackend("b1");
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  AddJob("j1", {step});
+  Advance(500);
+  LONGS_EQUAL(1, starts.size());
+  dispatcher->SetAvoided(BackendId("b1"), true);
+  AddBackend("b2");
+  dispatcher->SetAvoided(BackendId("b2"), true);
+  Advance(1000);
+  // Another server that is due for maintenance is no better.
+  LONGS_EQUAL(0, stops.size());
+  AddBackend("b3");
+  Advance(1000);
+  LONGS_EQUAL(1, stops.size());
+  EndRun(starts[0], RunEnd::kStopped);
+  Advance(500);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b3"));
+  // Short work still uses the server.
+  AddJob("j2", {Step(3, 8000)});
+  Advance(500);
+  LONGS_EQUAL(4, starts.size());
+}
+
 // A task whose backend server does not reply may be unavailable.
 TEST(DispatcherRecovery, MovesNoLongRunningTaskWhileAnotherMayBeUnavailable) {
   AddBackend("b1");
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -109,6 +109,20 @@
                                [](const auto& it) { return it.second == PoolId("b"); }));
 }
 
+// Long-running tasks on a server that is due for maintenance need room on another one.
+TEST(PoolAutoscaler, AddsVmsForLongRunningTasksOfServersThatAreDueForMaintenance) {
+  AddVms("a", 2, 1);
+  AddVms("b", 2, 1);
+  AddVms("off", 3, 0);
+  for (auto& it : backends) {
+    if (it.pool == PoolId("a")) it.long_running_tasks = 1;
+  }
+  backends[0].avoided = true;
+  RunTicks(0, 2000);
+  LONGS_EQUAL(1, moves.size());
+  CHECK(moves[0].second == PoolId("a"));
+}
+
 TEST(PoolAutoscaler, DoesNotRepeatARefusedMove) {
   AddVms("a", 3, 0);
   AddVms("b", 2, 0);
