Refuse submissions with amounts that the owner cannot add up

But a submission of 4,294,967,297 tasks was accepted as one of 1 task, and negative times, or processors and estimates whose product overflows 64 bits, went into the demand of the caller's pool, by which VMs are moved between the pools of all teams. Class of fault: a number that is checked for its type only. Numbers that an int cannot hold become the nearest one, so that checks see them, and CheckAmounts refuses times, limits, repetitions and amounts out of range with the remedy. Stored jobs, which were accepted, are not checked again.

--- a/coordination/include/sapphirewheel/coordination/stored_job.h
+++ b/coordination/include/sapphirewheel/coordination/stored_job.h
@@ -17,5 +17,9 @@
 
 // Validates the step numbers, counts and sizes of a submitted job. Errors: kInvalidArgument.
 [[nodiscard]] Result<void> CheckWorkSpec(const WorkSpec& spec);
+// Validates that times, limits and repetitions of a submitted job are in range and that its work
+// can be summed up with that of others. Not applied to stored jobs, which were accepted before.
+// Errors: kInvalidArgument.
+[[nodiscard]] Result<void> CheckAmounts(const WorkSpec& spec);
 
 }  // namespace sapphirewheel
--- a/coordination/src/stored_job.cc
+++ b/coordination/src/stored_job.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/stored_job.h"
 
 #include <boost/json.hpp>
+#include <chrono>
 
 #include "sapphirewheel/state/json.h"
 
@@ -14,6 +15,18 @@
 // Maximum number of tasks of one occurrence, so that one job cannot exhaust a node's memory.
 constexpr int kMaxTasks = 20'000;
 
+// Largest amounts of a submitted job, far above what servers have and tasks take.
+constexpr std::int64_t kMaxCpuMillis = 10'000'000;
+constexpr std::int64_t kMaxMemoryMib = 1'000'000'000;
+constexpr std::int64_t kMaxAccelerators = 1'000'000;
+constexpr Millis kMaxEstimate = std::chrono::hours(24 * 7);
+constexpr int kMaxRepetitions = 1'000'000;
+constexpr Millis kMaxInterval = std::chrono::hours(24 * 366);
+// Beyond the year 5000, as milliseconds since 1970.
+constexpr UnixMillis kMaxDue{100'000'000'000'000};
+// In milli-cores times milliseconds; sums of the work of many jobs fit in 64 bits.
+constexpr double kMaxWork = 1e15;
+
 Error Invalid(const std::string& message, const std::string& remedy) {
   return Error{ErrorKind::kInvalidArgument, message, remedy, RunState::kNotRun, std::nullopt};
 }
@@ -147,4 +160,39 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> CheckAmounts(const WorkSpec& spec) {
+  double work = 0;
+  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+    const StepSpec& step = spec.steps[n];
+    const std::string name = "step " + std::to_string(n);
+    const Resources& task = step.per_task;
+    if (task.cpu_millis > kMaxCpuMillis || task.memory_mib > kMaxMemoryMib ||
+        task.accelerators > kMaxAccelerators) {
+      return Invalid(name + " requests more than any backend server has",
+                     "give the amounts of one task, processors in thousandths of a core");
+    }
+    if (step.estimate < Millis(0) || step.estimate > kMaxEstimate ||
+        step.latency_target < Millis(0) || step.latency_target > kMaxEstimate) {
+      return Invalid(name + " has a time that is negative or longer than a week",
+                     "give times in milliseconds");
+    }
+    if (step.per_server_limit < 0 || step.unavailable_budget.value_or(0) < 0) {
+      return Invalid(name + " has a negative limit", "give limits of at least 0");
+    }
+    work += static_cast<double>(task.cpu_millis) * static_cast<double>(step.estimate.count()) *
+            step.count;
+  }
+  if (work > kMaxWork) {
+    return Invalid("the job is estimated at more than a billion core-seconds",
+                   "check the unit of the estimates, milliseconds, or split the job");
+  }
+  if (spec.repetitions < 0 || spec.repetitions > kMaxRepetitions || spec.interval < Millis(0) ||
+      spec.interval > kMaxInterval || spec.first_due < UnixMillis(0) || spec.first_due > kMaxDue) {
+    return Invalid("the job's repetitions, interval or first time are out of range",
+                   "give 0 to " + std::to_string(kMaxRepetitions) +
+                       " repetitions, an interval of at most a year, and times in milliseconds");
+  }
+  return boost::outcome_v2::success();
+}
+
 }  // namespace sapphirewheel
--- a/state/include/sapphirewheel/state/json.h
+++ b/state/include/sapphirewheel/state/json.h
@@ -18,6 +18,10 @@
                                     std::string_view fallback = "");
 [[nodiscard]] std::int64_t IntField(const boost::json::object& object, std::string_view name,
                                     std::int64_t fallback = 0);
+// The nearest value that an int can hold.
+[[nodiscard]] int SmallIntField(const boost::json::object& object, std::string_view name,
+                                int fallback = 0);
+[[nodiscard]] int NearestInt(std::int64_t n);
 [[nodiscard]] double DoubleField(const boost::json::object& object, std::string_view name,
                                  double fallback = 0);
 [[nodiscard]] bool BoolField(const boost::json::object& object, std::string_view name,
--- a/state/src/json.cc
+++ b/state/src/json.cc
@@ -1,6 +1,8 @@
 #include "sapphirewheel/state/json.h"
 
+#include <algorithm>
 #include <boost/json/stream_parser.hpp>
+#include <limits>
 
 namespace sapphirewheel {
 namespace {
@@ -43,6 +45,15 @@
   return ec ? fallback : n;
 }
 
+int NearestInt(std::int64_t n) {
+  using Limits = std::numeric_limits<int>;
+  return static_cast<int>(std::clamp<std::int64_t>(n, Limits::min(), Limits::max()));
+}
+
+int SmallIntField(const boost::json::object& object, std::string_view name, int fallback) {
+  return NearestInt(IntField(object, name, fallback));
+}
+
 double DoubleField(const boost::json::object& object, std::string_view name, double fallback) {
   const auto* value = object.if_contains(name);
   if (value == nullptr || !value->is_number()) return fallback;
