Measure the progress of tasks by the lists of runs only

Found when reading the diff: the time without progress ended at the last reply of any kind. After a pause of the owner the reply to a new start comes before that to the first poll, which waits for an end, and tasks that ran were called stuck.

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -439,6 +439,7 @@
     impl_->HandleRestart(*backend, reply.started_at);
   }
   impl_->RecordReply(*backend, reply.clock);
+  backend->last_list = now;
   if (!backend->has_replied) {
     backend->has_replied = true;
     impl_->place_due = true;
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -148,8 +148,8 @@
         ref.spec->best_effort) {
       continue;
     }
-    // Only a reply shows whether there is progress.
-    const Millis stalled = backend.last_reply - std::max(task.last_progress, task.confirmed_at);
+    // Only the list of runs shows whether there is progress.
+    const Millis stalled = backend.last_list - std::max(task.last_progress, task.confirmed_at);
     if (stalled <= std::max(kStuckAfter, ref.spec->estimate / 2)) continue;
     ref.task->failed_at = backend.report.id;
     backend.penalized_until = now_ + kPenaltyTime;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -155,6 +155,8 @@
   std::optional<MonotonicTime> repeat_poll_at;
   MonotonicTime next_poll;
   MonotonicTime last_reply;
+  // When its list of runs was last received.
+  MonotonicTime last_list;
   // All runs there have ended by then, unless a further order extends the lease.
   MonotonicTime lease_end;
   std::optional<BackendClock> clock;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -94,6 +94,26 @@
   LONGS_EQUAL(3, starts.size());
 }
 
+// Guards against the same after a pause in which the reply to a new start comes before that to the
+// first poll: only the list of runs shows progress.
+TEST(DispatcherRecovery, TheReplyToAStartDoesNotShowThatOtherTasksAreStuck) {
+  AddBackend("b1");
+  AddJob("j1", {Step(3, 1000)});
+  Advance(500);
+  for (ListedRun& it : running[BackendId("b1")]) it.percent = 1;
+  Advance(500);
+  constexpr int kPause = 4500;
+  for (const int until = now_ms + kPause; now_ms < until; now_ms += 20) {
+    dispatcher->Tick(Now(), false);
+  }
+  AddJob("j2", {Step(1, 1000)});
+  dispatcher->Tick(Now(), true);
+  LONGS_EQUAL(4, starts.size());
+  dispatcher->OnStart(starts[3], {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  AdvanceWithoutReplies(600);
+  LONGS_EQUAL(0, stops.size());
+}
+
 // Guards against maintenance that is late because long-running tasks, of which only one at a time
 // may move, begin to leave a server when it is the server's turn.
 TEST(DispatcherRecovery, LongRunningTasksLeaveAServerThatIsDueForMaintenance) {
