Bound the idle connections to all hosts by the descriptors of the process

The owner's process had 7,988 of its 8,192 descriptors in use: each address of a moved VM left idle connections for 120 s, closed by the server or not, so no connection to a new server could be opened. Class of fault: a resource that is bounded per peer only, while peers come and go. Idle connections to all hosts together are at most half of the descriptors that the platform grants (limits.max_fds); the least recently used ones are closed. BoundsTheIdleConnectionsToAllHosts was red without the bound.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -36,6 +36,9 @@
 // new one is expensive.
 constexpr Millis kIdleTimeout{120'000};
 constexpr Millis kConnectTimeout{600};
+// Idle connections use at most this part of the descriptors. The rest is for calls in progress,
+// callers and new backend servers; moved VMs leave connections to their earlier address.
+constexpr std::size_t kIdleDescriptorPart = 2;
 // Preferred lease of a run. A run continues for this long after the owner's last order, so that it
 // survives a change of owner.
 constexpr Millis kRunLease{6000};
@@ -242,7 +245,7 @@
       : settings_(std::move(settings)),
         self_(NewNodeId(settings_.vm)),
         loop_(kRingCapacity),
-        client_(ClientSettings()),
+        client_(ClientSettings(settings_)),
         http_store_(client_, settings_.table_service, Post()),
         store_(http_store_, metrics_),
         backends_(client_, Post()) {
@@ -292,9 +295,10 @@
   const NodeId& self() const { return self_; }
 
  private:
-  static HttpClient::Settings ClientSettings() {
+  static HttpClient::Settings ClientSettings(const platform::DeploymentSettings& deployment) {
     HttpClient::Settings settings;
     settings.idle_timeout = kIdleTimeout;
+    settings.max_idle = deployment.max_descriptors / kIdleDescriptorPart;
     settings.connect_timeout = kConnectTimeout;
     settings.reset_on_close = true;
     settings.now = BootTime;
--- a/transport/include/sapphirewheel/transport/http_client.h
+++ b/transport/include/sapphirewheel/transport/http_client.h
@@ -70,6 +70,9 @@
     Millis connect_timeout{1000};
     // Idle connections are closed after this time.
     Millis idle_timeout{10000};
+    // Upper bound of idle connections to all hosts together; the least recently used ones are
+    // closed. 0 if they are not bounded.
+    std::size_t max_idle = 0;
     // Idle time up to which a connection counts as recently used.
     Millis recent_use_limit{500};
     std::size_t max_response_bytes = 64UL * 1024 * 1024;
--- a/transport/src/connection_pool.cc
+++ b/transport/src/connection_pool.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
+#include <vector>
 
 namespace sapphirewheel {
 namespace {
@@ -63,6 +64,7 @@
     if (reuse == ConnectionReuse::kRecent && age > settings_.recent_use_limit) return nullptr;
     auto connection = std::move(host.idle.back());
     host.idle.pop_back();
+    --idle_;
     if (age <= settings_.idle_timeout && IsReusable(connection->socket)) return connection;
   }
   return nullptr;
@@ -72,12 +74,36 @@
                                 std::unique_ptr<PooledConnection> connection) {
   connection->last_used = std::chrono::steady_clock::now();
   hosts_[endpoint].idle.push_back(std::move(connection));
+  ++idle_;
+  if (settings_.max_idle > 0 && idle_ > settings_.max_idle) TrimIdle();
+}
+
+void ConnectionPool::DropOldest(Host& host) {
+  host.idle.pop_front();
+  --idle_;
+}
+
+void ConnectionPool::TrimIdle() {
+  // Several at a time, as each search goes through all of them.
+  constexpr std::size_t kPart = 8;
+  std::vector<std::chrono::steady_clock::time_point> times;
+  times.reserve(idle_);
+  for (const auto& [endpoint, host] : hosts_) {
+    for (const auto& it : host.idle) times.push_back(it->last_used);
+  }
+  const std::size_t excess = times.size() - settings_.max_idle + settings_.max_idle / kPart;
+  std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(excess - 1),
+                   times.end());
+  const auto newest_dropped = times[excess - 1];
+  for (auto& [endpoint, host] : hosts_) {
+    while (!host.idle.empty() && host.idle.front()->last_used <= newest_dropped) DropOldest(host);
+  }
 }
 
 void ConnectionPool::EvictIdle(const Endpoint& endpoint) {
   Host& host = hosts_[endpoint];
   while (!host.idle.empty() && host.in_use + host.idle.size() > settings_.connections_per_host) {
-    host.idle.pop_front();
+    DropOldest(host);
   }
 }
 
@@ -85,7 +111,7 @@
   const auto oldest = std::chrono::steady_clock::now() - settings_.idle_timeout;
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     Host& host = it->second;
-    while (!host.idle.empty() && host.idle.front()->last_used < oldest) host.idle.pop_front();
+    while (!host.idle.empty() && host.idle.front()->last_used < oldest) DropOldest(host);
     const bool unused = host.idle.empty() && host.in_use == 0 && host.waiters.empty();
     it = unused ? hosts_.erase(it) : std::next(it);
   }
@@ -93,6 +119,7 @@
 
 void ConnectionPool::CloseIdle() {
   for (auto& [endpoint, host] : hosts_) host.idle.clear();
+  idle_ = 0;
 }
 
 }  // namespace sapphirewheel
--- a/transport/src/connection_pool.h
+++ b/transport/src/connection_pool.h
@@ -58,7 +58,13 @@
 
   boost::asio::io_context& context_;
   const HttpClient::Settings& settings_;
+  // Closes the least recently used idle connections of all hosts when there are too many.
+  void TrimIdle();
+  void DropOldest(Host& host);
+
   std::map<Endpoint, Host> hosts_;
+  // Number of idle connections to all hosts.
+  std::size_t idle_ = 0;
 };
 
 }  // namespace sapphirewheel
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "transport/tests/test_support.h"
 
@@ -321,6 +322,38 @@
 }
 
 // Guards against calls and timers that get no callback when the client stops.
+// Guards against a client that cannot reach new hosts because connections to hosts that it no
+// longer calls use all descriptors.
+TEST(HttpClient, BoundsTheIdleConnectionsToAllHosts) {
+  constexpr std::size_t kMaxIdle = 8;
+  constexpr int kHosts = 24;
+  HttpClient::Settings settings;
+  settings.max_idle = kMaxIdle;
+  settings.idle_timeout = Millis(60'000);
+  std::atomic<int> open = 0;
+  std::atomic<int> accepted = 0;
+  std::vector<std::unique_ptr<FakeServer>> servers;
+  for (int n = 0; n < kHosts; ++n) {
+    servers.push_back(std::make_unique<FakeServer>([&](TestSocket& socket, int number) {
+      ++open;
+      ++accepted;
+      EchoBodies(socket, number);
+      --open;
+    }));
+  }
+  HttpClient client(settings);
+  for (const auto& it : servers) {
+    CHECK_TRUE(Run(client, Post(it->endpoint())).outcome == HttpOutcome::kComplete);
+  }
+  CHECK_TRUE(WaitFor([&] { return open <= static_cast<int>(kMaxIdle); }));
+  // The most recently used connection is still there.
+  CHECK_TRUE(Run(client, Post(servers.back()->endpoint())).outcome == HttpOutcome::kComplete);
+  LONGS_EQUAL(kHosts, accepted);
+  CHECK_TRUE(Run(client, Post(servers.front()->endpoint())).outcome == HttpOutcome::kComplete);
+  LONGS_EQUAL(kHosts + 1, accepted);
+  client.Stop();
+}
+
 TEST(HttpClient, StopEndsPendingCallsAndTimers) {
   FakeServer server([](TestSocket& socket, int) { socket.ReadAll(); });
   HttpClient client(Defaults());
