See the return of VMs of a spare pool in the list of VMs

Cause: a VM of a spare pool has no backend server that would show its return, so it counted as down until the maintenance time and the age of a list, 3 s, had passed, plus the wait for the next list. A list that shows a VM up after one that showed it in maintenance is newer than the maintenance, unless it was taken before the order; lists are at most 1 s old, so this is waited for. Class of fault: a fixed wait where an observation is at hand. SeesTheReturnOfAVmAfterAListThatShowedItInMaintenance was red before, and is red without the wait for old lists.

--- a/coordination/include/sapphirewheel/coordination/maintenance_runner.h
+++ b/coordination/include/sapphirewheel/coordination/maintenance_runner.h
@@ -66,6 +66,8 @@
     MonotonicTime retry_at;
     // The incarnation whose end shows that the maintenance has begun.
     BackendId previous_backend;
+    // A list of VMs showed it in maintenance after the order.
+    bool seen_in_maintenance = false;
     // Set while an order without a reply may still be carried out.
     std::optional<MonotonicTime> may_run_until;
   };
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -53,8 +53,12 @@
       if (maintained && entry.phase != VmPhase::kDown && entry.phase != VmPhase::kOrdered) {
         SetPhase(wave, vm, entry, VmPhase::kDown, now);
       }
-      // A VM of a spare pool has no backend server that would show its return.
-      const bool waited = now - entry.since > maintenance_time_ + kMaxListAge;
+      if (maintained) entry.seen_in_maintenance = true;
+      // A VM of a spare pool has no backend server that would show its return. A list that shows it
+      // up is newer than one in maintenance, unless it was taken before the order.
+      const Millis passed = now - entry.since;
+      const bool waited = passed > maintenance_time_ + kMaxListAge ||
+                          (entry.seen_in_maintenance && passed > kMaxListAge);
       const bool back = it->second.state == VmState::kUp &&
                         (it->second.backend != entry.previous_backend || waited);
       if (entry.phase == VmPhase::kDown && back) {
@@ -165,6 +169,7 @@
       if (down >= wave.order.max_down || !up || !idle) continue;
       entry.previous_backend = there ? backend->second->id : listed->second.backend;
       entry.may_run_until.reset();
+      entry.seen_in_maintenance = false;
       SetPhase(wave, vm, entry, VmPhase::kOrdered, now);
       ++down;
     }
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -133,6 +133,27 @@
   CHECK(changes.back().completed);
 }
 
+// Guards against waves that take twice as long as the maintenance of their VMs: the return of a VM
+// without backend server shows in the first list that no longer has it in maintenance.
+TEST(MaintenanceRunner, SeesTheReturnOfAVmAfterAListThatShowedItInMaintenance) {
+  vms.push_back(VmReport{VmId("v1"), PoolId("spare"), VmState::kUp, BackendId()});
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
+  vms[0].state = VmState::kMaintenance;
+  runner.SetVms(vms, At(300));
+  // A list taken before the order.
+  vms[0].state = VmState::kUp;
+  runner.SetVms(vms, At(600));
+  CHECK(runner.IsPending(VmId("v1")));
+  vms[0].state = VmState::kMaintenance;
+  runner.SetVms(vms, At(1500));
+  CHECK(runner.IsPending(VmId("v1")));
+  vms[0].state = VmState::kUp;
+  runner.SetVms(vms, At(2100));
+  CHECK_FALSE(runner.IsPending(VmId("v1")));
+}
+
 TEST(MaintenanceRunner, SkipsVmsThatAnEarlierOwnerFinished) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 2};
