Order VMs only while the ownership has been renewed recently

Callers saw all earlier work of a pool wait for 6.6 s after a change of owner. Class of fault: acting on a state that can be neither read nor stored. Orders to VMs (moves, maintenance) now need a renewal that is not older than half of the lease. Red without the condition: FleetSchedule.AnOwnerWithoutTheStoreSoonStopsMovingVms.

--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -71,6 +71,9 @@
 
   // Records the row as read from the table service; an absent row has revision 0.
   void Observe(const std::optional<OwnerRow>& row, Revision revision, MonotonicTime now);
+  // The row could not be read. Renewals may have failed for the same reason, so the holder gets
+  // time to renew when the row can be read again.
+  void OnUnreadable() { unreadable_ = true; }
 
   // The write by which this node takes over, if it is due. Only one claim is open at a time.
   // `store_delay` is the present delay of the table service's replies; it extends the wait, so that
@@ -103,6 +106,10 @@
   [[nodiscard]] bool asked_to_release() const noexcept {
     return owner_ && row_ && !row_->successor.empty();
   }
+  // Whether the last renewal is recent enough for orders that the next owner has to learn of.
+  [[nodiscard]] bool RenewedRecently(MonotonicTime now) const noexcept {
+    return owner_ && now < renewed_at_ + settings_.lease / 2;
+  }
   // Whether this node may send orders at `now`.
   [[nodiscard]] bool MayAct(MonotonicTime now) const noexcept {
     return owner_ && now < valid_until_;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -259,9 +259,13 @@
       next_autoscale = now + kAutoscaleInterval;
       const auto backends = dispatcher->Backends();
       const auto loads = dispatcher->Loads();
-      if (maintenance->Active()) maintenance->Tick(backends, now);
-      autoscaler->Tick(
-          backends, loads, [this](const VmId& vm) { return maintenance->IsPending(vm); }, now);
+      // Without the store, demand is not known, and the next owner would wait for the leases of
+      // backend servers that it does not know to have ended.
+      if (lease.RenewedRecently(now)) {
+        if (maintenance->Active()) maintenance->Tick(backends, now);
+        autoscaler->Tick(
+            backends, loads, [this](const VmId& vm) { return maintenance->IsPending(vm); }, now);
+      }
       ReportLoad(loads, now);
     }
     for (const auto& it : maintenance->TakeChanges()) {
--- a/coordination/tests/fleet_lease_test.cc
+++ b/coordination/tests/fleet_lease_test.cc
@@ -49,6 +49,18 @@
   CHECK(first.ends() <= At(0));
 }
 
+// Guards against orders to VMs of an owner that cannot store them.
+TEST(FleetLease, ARenewalIsRecentForHalfOfTheLease) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(std::nullopt, Revision(), At(10));
+  CHECK_FALSE(lease.RenewedRecently(At(10)));
+  lease.OnWriteSucceeded(lease.Claim(At(10))->row, Revision(5), At(10));
+  CHECK(lease.RenewedRecently(At(1000)));
+  CHECK_FALSE(lease.RenewedRecently(At(1010)));
+  lease.OnWriteSucceeded(*lease.row(), Revision(6), At(1500));
+  CHECK(lease.RenewedRecently(At(2400)));
+}
+
 // Guards against orders that are still under way when the ownership is given back.
 TEST(FleetLease, PermitsEndWithARelease) {
   FleetLease lease = NewLease("a#1");
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -268,6 +268,24 @@
   for (const auto& it : sim.Violations()) FAIL(it.c_str());
 }
 
+// Guards against an owner that moves VMs while it cannot store which backend servers are left: its
+// successor waits for the leases of those that have ended.
+TEST(FleetSchedule, AnOwnerWithoutTheStoreSoonStopsMovingVms) {
+  FleetSim::Settings settings;
+  settings.spare_vms = 20;
+  FleetSim sim(settings);
+  sim.RunUntil(1500);
+  for (int n = 0; n < 60; ++n) sim.At(1500 + 50 * n, [&sim] { sim.SubmitRandomJob(); });
+  sim.RunUntil(5000);
+  const int owner = sim.OwnerNode();
+  sim.nodes[owner].store_disconnected = true;
+  sim.RunUntil(5100);
+  CHECK(sim.vm_orders.size() > 0 && sim.vm_orders.back() >= 4900);
+  // Half of the lease of 3 s after the last renewal.
+  sim.RunUntil(5000 + 3000);
+  CHECK(sim.vm_orders.back() <= 5000 + 1500);
+}
+
 // Two of three nodes are weak, so that takeovers and requests for the ownership meet.
 TEST(FleetSchedule, WeakAndStrongNodesAreKilled) {
   FleetSim::Settings settings;
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -32,6 +32,7 @@
       backends[backend.report.id] = backend;
     }
   }
+  if (settings.spare_vms > 0) config.pools.push_back({PoolId("spare"), false, true});
   Put({"operator", "", "config"}, "config");
   for (auto& [id, backend] : backends) RegisterBackend(backend);
   nodes.resize(settings.nodes);
@@ -77,9 +78,10 @@
   ++node.incarnation;
   node.stores.push_back(std::make_unique<SimStore>(*this, n, node.incarnation));
   node.backends.push_back(std::make_unique<SimBackends>(*this, n, node.incarnation));
+  node.vms.push_back(settings_.spare_vms > 0 ? std::make_unique<SimVms>(*this) : nullptr);
   FleetPorts ports{*node.stores.back(),
                    *node.backends.back(),
-                   nullptr,
+                   node.vms.back().get(),
                    nullptr,
                    *codec_,
                    [this] { return UnixMillis(kEpoch + now_); },
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -39,6 +39,8 @@
     // Minimum size of the payload of jobs.
     std::size_t payload_bytes = 0;
     Faults faults;
+    // VMs of a spare pool that the VM service lists; without any, the nodes have no VM service.
+    int spare_vms = 0;
   };
   // A task's run on a backend server.
   struct Run {
@@ -83,6 +85,7 @@
     // One per incarnation, because calls of a dead process may still be in flight.
     std::vector<std::unique_ptr<RowStore>> stores;
     std::vector<std::unique_ptr<BackendServers>> backends;
+    std::vector<std::unique_ptr<VmService>> vms;
   };
   struct ClientJob {
     JobId id;
@@ -137,6 +140,8 @@
   std::map<JobId, ClientJob> jobs;
   DispatchConfig config;
   int starts = 0;
+  // When VMs were ordered to move; the orders are refused.
+  std::vector<std::int64_t> vm_orders;
   // Whether it is a violation if the lease of a reachable backend server expires.
   bool lease_expiry_forbidden = true;
   std::int64_t owner_killed = -1'000'000;
@@ -146,6 +151,7 @@
  private:
   friend class SimStore;
   friend class SimBackends;
+  friend class SimVms;
   struct Event {
     std::int64_t at;
     std::uint64_t order;
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -11,6 +11,33 @@
 inline constexpr std::int64_t kStopMs = 150;
 inline constexpr std::int64_t kLongestLease = 10'000;
 
+// Lists the spare VMs, and refuses all orders.
+class SimVms final : public VmService {
+ public:
+  explicit SimVms(FleetSim& sim) : sim_(sim) {}
+  void List(std::function<void(const VmListReply&)> done) override {
+    VmListReply reply;
+    reply.complete = true;
+    for (int n = 0; n < sim_.settings_.spare_vms; ++n) {
+      reply.vms.push_back(
+          VmReport{VmId("v" + std::to_string(n)), PoolId("spare"), VmState::kUp, BackendId()});
+    }
+    done(reply);
+  }
+  void Move(const VmId&, const PoolId&, const OrderPermit&,
+            std::function<void(VmOrderOutcome)> done) override {
+    sim_.vm_orders.push_back(sim_.now_);
+    done(VmOrderOutcome::kNotDone);
+  }
+  void Maintain(const VmId&, std::int64_t, const OrderPermit&,
+                std::function<void(VmOrderOutcome)> done) override {
+    done(VmOrderOutcome::kNotDone);
+  }
+
+ private:
+  FleetSim& sim_;
+};
+
 // Decodes the rows of operators and the registry in this simulation. The reports are kept outside
 // the store; the rows only name them.
 class SimCodec final : public PlatformCodec {
