Give the holder of the ownership time to renew after an outage of the store

All nodes see the service return at the same time, and the row looked unchanged for longer than the lease to all of them. Class of fault: time in which nothing could be seen counted as silence of what is watched. TheHolderHasTimeToRenewAfterAnOutage was red before.

--- a/coordination/include/sapphirewheel/coordination/fleet_lease.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_lease.h
@@ -134,6 +134,9 @@
   bool owner_ = false;
   // When the present revision was first seen by this node.
   MonotonicTime revision_seen_at_;
+  // Whether the last read of the row failed, and when it could be read again.
+  bool unreadable_ = false;
+  MonotonicTime readable_since_;
   // When the present token was first seen, and whether it has been renewed since.
   MonotonicTime token_seen_at_;
   bool renewal_seen_ = false;
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -107,6 +107,7 @@
     owner_in_flight = false;
     if (reply.outcome == StoreOutcome::kHistoryGone) owner_read = false;
     if (reply.outcome != StoreOutcome::kDone) {
+      lease.OnUnreadable();
       next_owner_poll = ports.now() + kStoreRetryDelay;
       return;
     }
--- a/coordination/src/fleet_lease.cc
+++ b/coordination/src/fleet_lease.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 #include "sapphirewheel/state/json.h"
 
@@ -18,6 +19,8 @@
 constexpr Millis kRequestInterval{1000};
 // Time by which other nodes let the successor that a released row names claim it first.
 constexpr Millis kSuccessorTime{500};
+// Time for the holder to renew after an outage of the table service; it retries more often.
+constexpr Millis kRenewalAfterOutage{400};
 
 }  // namespace
 
@@ -59,6 +62,7 @@
 }
 
 void FleetLease::Observe(const std::optional<OwnerRow>& row, Revision revision, MonotonicTime now) {
+  if (std::exchange(unreadable_, false)) readable_since_ = now;
   if (ever_observed_ && revision < revision_) return;
   if (!ever_observed_ || revision != revision_) revision_seen_at_ = now;
   if (row && row_ && row->token == row_->token) {
@@ -87,8 +91,8 @@
   if (VmOf(row_->holder) == VmOf(settings_.self)) return revision_seen_at_ + settings_.claim_delay;
   // The delays of a renewal, of reading it here, and of a repeated renewal.
   constexpr int kStoreDelays = 3;
-  return revision_seen_at_ + settings_.lease + settings_.takeover_margin + settings_.claim_delay +
-         kStoreDelays * store_delay;
+  return std::max(revision_seen_at_ + settings_.lease, readable_since_ + kRenewalAfterOutage) +
+         settings_.takeover_margin + settings_.claim_delay + kStoreDelays * store_delay;
 }
 
 std::optional<FleetLease::Write> FleetLease::Claim(MonotonicTime now, Millis store_delay) {
--- a/coordination/tests/fleet_lease_test.cc
+++ b/coordination/tests/fleet_lease_test.cc
@@ -49,6 +49,18 @@
   CHECK(first.ends() <= At(0));
 }
 
+// Guards against a takeover from a holder that could not renew only because the table service was
+// away: all nodes see the service return at the same time.
+TEST(FleetLease, TheHolderHasTimeToRenewAfterAnOutage) {
+  FleetLease lease = NewLease("a#1");
+  lease.Observe(Row("b#1", 4), Revision(9), At(100));
+  lease.OnUnreadable();
+  CHECK_FALSE(lease.Claim(At(1000)).has_value());
+  lease.Observe(Row("b#1", 4), Revision(9), At(5000));
+  CHECK_FALSE(lease.Claim(At(5600)).has_value());
+  CHECK(lease.Claim(At(5700)).has_value());
+}
+
 // Guards against orders to VMs of an owner that cannot store them.
 TEST(FleetLease, ARenewalIsRecentForHalfOfTheLease) {
   FleetLease lease = NewLease("a#1");
