Wait for no lease of servers that their VM has left

Class of fault: a role is taken over with a state that the last holder had already left behind. The roster names the VM of each server; a list of VMs that is newer than the ownership (by the 1 s that a list may be old) shows whether the VM has left it: it is moved, in maintenance, in another pool or runs another server. A VM that is down may be cut off, so its server is waited for as before. Older rosters have no VMs and are read as before. NothingWaitsForServersThatTheirVmHasLeft was red before (1 start expected, 0 seen).

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -148,6 +148,8 @@
   // Time by which all runs there have ended, because the owner sends it no more orders. Absent
   // while the owner may send orders.
   std::optional<MonotonicTime> runs_end_by;
+  // Its VM; empty if that is not known.
+  VmId vm = VmId();
   bool operator==(const RosterEntry&) const = default;
 };
 using Roster = std::map<BackendId, RosterEntry>;
@@ -207,6 +209,10 @@
   void RosterSent(const Roster& roster);
   void RosterWritten(const Roster& roster);
 
+  // Takes note of servers of the roster whose VM has left them, by a list of VMs that is newer than
+  // the ownership. Nothing runs there, so nothing waits for their leases.
+  void OnVmList(const std::vector<VmReport>& vms, MonotonicTime now);
+
   // Jobs stored after `horizon` start only when it has been raised. The owner stores the horizon
   // before it raises it here, so its successor knows that no later job has been started.
   void SetStartHorizon(Revision horizon);
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -129,6 +129,9 @@
 // An order without a reply may be carried out up to this much later.
 inline constexpr Millis kMaxVmOrderDelay{13'000};
 
+// Maximum age of the state that a list of VMs shows.
+inline constexpr Millis kMaxVmListAge{1000};
+
 struct VmListReply {
   bool complete = false;
   std::vector<VmReport> vms;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -13,6 +13,13 @@
 // Time in which a backend server that is reachable replies to one of the first polls of an owner.
 constexpr Millis kFirstPollTime{1500};
 
+// Whether a VM no longer runs a backend server of a pool that it ran before the report.
+bool HasLeft(const VmReport& vm, const BackendId& backend, const PoolId& pool) {
+  if (vm.state == VmState::kMoving || vm.state == VmState::kMaintenance) return true;
+  const bool another = !vm.backend.empty() && vm.backend != backend;
+  return vm.state == VmState::kUp && (another || vm.pool != pool);
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(Settings settings, Hooks hooks, MonotonicTime now)
@@ -47,9 +54,9 @@
   for (const auto& [id, backend] : impl_->backends) {
     const bool trusted = backend->registered && impl_->IsTrusted(*backend);
     if (trusted) {
-      roster[id] = {backend->report.pool, std::nullopt};
+      roster[id] = {backend->report.pool, std::nullopt, backend->report.vm};
     } else if (backend->HasRuns()) {
-      roster[id] = {backend->report.pool, backend->lease_end};
+      roster[id] = {backend->report.pool, backend->lease_end, backend->report.vm};
     }
   }
   const bool certain = impl_->roster_ever_written && impl_->given_up.empty();
@@ -71,6 +78,24 @@
   impl_->place_due = true;
 }
 
+void Dispatcher::OnVmList(const std::vector<VmReport>& vms, MonotonicTime now) {
+  if (impl_->roster_pending.empty()) return;
+  std::map<VmId, const VmReport*> by_vm;
+  for (const VmReport& it : vms) by_vm[it.vm] = &it;
+  std::vector<BackendId> ended;
+  for (const auto& [id, entry] : impl_->roster_pending) {
+    const auto listed = by_vm.find(entry.vm);
+    if (listed != by_vm.end() && HasLeft(*listed->second, id, entry.pool)) ended.push_back(id);
+  }
+  for (const BackendId& id : ended) {
+    impl_->roster_pending.erase(id);
+    BackendEnded(id, now);
+    impl_->Report(DecisionKind::kBackendGone, JobId(), "", id, RunNumber(),
+                  "its VM has left it, by the list of VMs");
+  }
+  if (!ended.empty()) impl_->place_due = true;
+}
+
 void Dispatcher::SetStartHorizon(Revision horizon) {
   impl_->start_horizon = horizon;
   impl_->place_due = true;
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -52,9 +52,9 @@
 std::string FleetOwner::Impl::EncodeRoster(const Roster& entries) const {
   boost::json::object row;
   for (const auto& [id, entry] : entries) {
-    boost::json::array value{entry.pool.str()};
+    boost::json::array value{entry.pool.str(), nullptr, entry.vm.str()};
     if (entry.runs_end_by && store_now.count() > 0) {
-      value.emplace_back(store_now.count() + (*entry.runs_end_by - store_read_at).count());
+      value[1] = store_now.count() + (*entry.runs_end_by - store_read_at).count();
     }
     row[id.str()] = std::move(value);
   }
@@ -69,10 +69,13 @@
     if (!value.is_array() || value.get_array().empty()) continue;
     const boost::json::array& fields = value.get_array();
     if (!fields[0].is_string()) continue;
-    RosterEntry entry{PoolId(std::string(fields[0].get_string())), std::nullopt};
+    RosterEntry entry{PoolId(std::string(fields[0].get_string())), std::nullopt, VmId()};
     if (fields.size() > 1 && fields[1].is_int64()) {
       entry.runs_end_by = store_read_at + Millis(fields[1].get_int64() - store_now.count());
     }
+    if (fields.size() > 2 && fields[2].is_string()) {
+      entry.vm = VmId(std::string(fields[2].get_string()));
+    }
     entries[BackendId(std::string(id))] = entry;
   }
   return entries;
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -10,8 +10,6 @@
 
 // Delay before an order that was refused or got no reply is repeated.
 constexpr Millis kOrderRetry{400};
-// Maximum age of the state that a list of VMs shows.
-constexpr Millis kMaxListAge{1000};
 // Number of VMs that are freed in advance, beyond those that may be down.
 constexpr int kFreeAhead = 2;
 
@@ -57,8 +55,8 @@
       // A VM of a spare pool has no backend server that would show its return. A list that shows it
       // up is newer than one in maintenance, unless it was taken before the order.
       const Millis passed = now - entry.since;
-      const bool waited = passed > maintenance_time_ + kMaxListAge ||
-                          (entry.seen_in_maintenance && passed > kMaxListAge);
+      const bool waited = passed > maintenance_time_ + kMaxVmListAge ||
+                          (entry.seen_in_maintenance && passed > kMaxVmListAge);
       const bool back = it->second.state == VmState::kUp &&
                         (it->second.backend != entry.previous_backend || waited);
       if (entry.phase == VmPhase::kDown && back) {
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -317,6 +317,32 @@
   CHECK_FALSE(dispatcher->RevisionAboveHorizon().has_value());
 }
 
+// Guards against a takeover after which all earlier work of a pool waits for the lease of a server
+// that has ended: VMs are moved all the time, and a roster may not have been written since.
+TEST(DispatcherRecovery, NothingWaitsForServersThatTheirVmHasLeft) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt, VmId("v1")}},
+                         {BackendId("gone"), {PoolId("p"), std::nullopt, VmId("v2")}}},
+                        Now());
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(1000);
+  std::vector<VmReport> vms{{VmId("v1"), PoolId("p"), VmState::kUp, BackendId("b1")},
+                            {VmId("v2"), PoolId("p"), VmState::kUp, BackendId("gone")}};
+  dispatcher->OnVmList(vms, Now());
+  Advance(100);
+  LONGS_EQUAL(0, starts.size());
+  // It may be cut off, and its tasks run on.
+  vms[1].state = VmState::kDown;
+  dispatcher->OnVmList(vms, Now());
+  Advance(100);
+  LONGS_EQUAL(0, starts.size());
+  vms[1] = {VmId("v2"), PoolId("q"), VmState::kUp, BackendId("next")};
+  dispatcher->OnVmList(vms, Now());
+  Advance(100);
+  LONGS_EQUAL(1, starts.size());
+}
+
 TEST(DispatcherRecovery, AHigherTokenEndsTheOwner) {
   AddBackend("b1");
   dispatcher->Tick(Now(), true);
