Let polls return soon while a long-running task starts up

With logs: the last VMs were ordered one after the other, each 2.3 s after the one before (23.8, 26.2, 28.5 s): their long-running tasks belong to one step, of which one task may be away, and the next one moves when the last is seen at work. That shows in a poll, and polls waited up to 0.8 s for the end of a run. Class of fault: a state that is waited for is looked at too rarely. A poll of a server with a long-running task that is not ready waits 0.15 s at most. PollsDoNotWaitLongWhileALongRunningTaskStartsUp was red before.

--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -14,6 +14,9 @@
 // A reply that is this much later than the wait of its poll counts as lost. Polls extend the lease,
 // and waiting for the whole timeout would leave too little of it.
 constexpr Millis kPollOverdue{250};
+// Longest wait of a poll of a server with a long-running task that is not ready yet: the next task
+// of its step may be moved only then.
+constexpr Millis kStartupPollWait{150};
 
 }  // namespace
 
@@ -28,6 +31,15 @@
   return listed && given_up.count(backend.report.id) == 0;
 }
 
+bool Dispatcher::Impl::IsStartingUp(const BackendEntry& backend) {
+  if (backend.long_running_tasks == 0) return false;
+  return std::any_of(backend.tasks.begin(), backend.tasks.end(), [this](const TaskKey& key) {
+    const TaskRef ref = Find(key);
+    return ref.spec->long_running && ref.task->phase != TaskPhase::kStopping &&
+           ref.task->percent < kFullPercent;
+  });
+}
+
 void Dispatcher::Impl::SendPoll(BackendEntry& backend) {
   PollOrder order;
   order.backend = backend.report.id;
@@ -44,7 +56,7 @@
   }
   const bool repeated = backend.poll_in_flight;
   if (backend.HasRuns() && backend.has_replied && !backend.failing && !repeated) {
-    order.wait = settings.poll_wait;
+    order.wait = IsStartingUp(backend) ? kStartupPollWait : settings.poll_wait;
   }
   order.sequence = ++backend.last_poll_sent;
   backend.poll_in_flight = true;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -244,6 +244,8 @@
   [[nodiscard]] bool IsTrusted(const BackendEntry& backend) const;
   // Whether the last written roster lets it have new work.
   [[nodiscard]] bool IsInRoster(const BackendEntry& backend) const;
+  // Whether a long-running task there is not ready yet.
+  bool IsStartingUp(const BackendEntry& backend);
   void SendPolls();
   void SendPoll(BackendEntry& backend);
   void SendStart(const TaskKey& key, const TaskRef& ref);
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -32,6 +32,8 @@
   std::vector<StopOrder> stops;
   std::deque<PollOrder> polls;
   std::map<BackendId, int> polled;
+  // Of the last poll.
+  Millis poll_wait{0};
   std::vector<AdviceOrder> advice;
   std::optional<AdvicePolicy> advice_policy;
   std::map<BackendId, std::vector<ListedRun>> running;
@@ -54,6 +56,7 @@
     hooks.stop = [this](const StopOrder& it) { stops.push_back(it); };
     hooks.poll = [this](const PollOrder& it) {
       ++polled[it.backend];
+      poll_wait = it.wait;
       polls.push_back(it);
     };
     hooks.pace = [this](const PaceOrder& it) { paces.push_back(it); };
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -343,6 +343,22 @@
   LONGS_EQUAL(1, starts.size());
 }
 
+// Guards against waves that end late because each move of a long-running task waits for a poll that
+// waits for the end of a run.
+TEST(DispatcherRecovery, PollsDoNotWaitLongWhileALongRunningTaskStartsUp) {
+  AddBackend("b1");
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  AddJob("j1", {step});
+  Advance(100);
+  running[BackendId("b1")][0].percent = 10;
+  Advance(200);
+  CHECK(poll_wait <= Millis(150));
+  running[BackendId("b1")][0].percent = 100;
+  Advance(200);
+  CHECK(poll_wait > Millis(150));
+}
+
 TEST(DispatcherRecovery, AHigherTokenEndsTheOwner) {
   AddBackend("b1");
   dispatcher->Tick(Now(), true);
