Poll backend servers less often while ticks are late

On time, the pause of 70 ms lets a finished task's place be used sooner, so it stays. Class of fault: more work for each task the less time there is. PollsLessOftenWhileTicksAreLate was red before.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -20,6 +20,11 @@
   return vm.state == VmState::kUp && (another || vm.pool != pool);
 }
 
+// Weight of the last interval between two ticks in the mean, as its inverse.
+constexpr int kTickSmoothing = 8;
+// Longest interval between two ticks that counts; a longer one is a pause of the process.
+constexpr Millis kMaxTickInterval{60};
+
 }  // namespace
 
 Dispatcher::Dispatcher(Settings settings, Hooks hooks, MonotonicTime now)
@@ -148,8 +153,15 @@
   impl_->CancelJob(id);
 }
 
+void Dispatcher::Impl::ObserveTick() {
+  const Millis interval = std::min(now_ - last_tick, kMaxTickInterval);
+  last_tick = now_;
+  tick_interval_ms += (static_cast<double>(interval.count()) - tick_interval_ms) / kTickSmoothing;
+}
+
 void Dispatcher::Tick(MonotonicTime now, bool may_order) {
   impl_->now_ = now;
+  impl_->ObserveTick();
   impl_->pool_servers_valid = false;
   impl_->OpenDueOccurrences();
   impl_->ExpireLeases();
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -310,6 +310,14 @@
   backend.next_poll = now_;
 }
 
+// The pause between two polls of a backend server. An owner that is short of processor time polls
+// less often, so that each poll returns more ends.
+Millis Dispatcher::Impl::PollPause() const {
+  constexpr double kTicks = 4;
+  return std::max(settings.poll_pause,
+                  Millis(static_cast<std::int64_t>(kTicks * tick_interval_ms)));
+}
+
 // An incarnation with another id replies from the address, so this one has ended.
 void Dispatcher::Impl::HandleReplaced(BackendEntry& backend) {
   MarkRunsLost(backend, "another backend server replies from its address");
@@ -465,7 +473,7 @@
   impl_->PaceBestEffortTasks(*backend);
   Impl::AcknowledgeEnds(*backend, impl_->WrittenUpTo());
   const bool more = reply.ended.size() >= kMaxEndsPerPoll;
-  if (newest) backend->next_poll = more ? now : now + impl_->settings.poll_pause;
+  if (newest) backend->next_poll = more ? now : now + impl_->PollPause();
 }
 
 }  // namespace sapphirewheel
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -231,6 +231,9 @@
   void MarkRunsLost(BackendEntry& backend, const std::string& why);
   void HandleRestart(BackendEntry& backend, UnixMillis started_at);
   void HandleReplaced(BackendEntry& backend);
+  [[nodiscard]] Millis PollPause() const;
+  // Updates the mean interval between ticks.
+  void ObserveTick();
   BackendEntry* ProcessReply(const BackendId& id, const OrderReply& reply);
   void RecordReply(BackendEntry& backend, const std::optional<BackendClock>& clock);
   void RecordMissingReply(BackendEntry& backend);
@@ -361,6 +364,8 @@
   bool place_due = true;
   MonotonicTime next_place;
   MonotonicTime next_stuck_check;
+  MonotonicTime last_tick;
+  double tick_interval_ms = 0;
   MonotonicTime now_;
 };
 
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -359,6 +359,30 @@
   CHECK(poll_wait > Millis(150));
 }
 
+// Guards against an owner without enough processor time that spends it on polls with one end each.
+TEST(DispatcherRecovery, PollsLessOftenWhileTicksAreLate) {
+  AddBackend("b1");
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  AddJob("j1", {step});
+  Advance(1000);
+  running[BackendId("b1")][0].percent = 100;
+  constexpr int kTime = 3000;
+  int before = polled[BackendId("b1")];
+  Advance(kTime);
+  const int on_time = polled[BackendId("b1")] - before;
+  before = polled[BackendId("b1")];
+  constexpr int kTick = 20;
+  constexpr int kLate = 30;
+  for (int n = 0; n < kTime / (kTick + kLate); ++n) {
+    Advance(kTick);
+    now_ms += kLate;
+  }
+  const int late = polled[BackendId("b1")] - before;
+  CHECK(late > 0);
+  CHECK(3 * late < 2 * on_time);
+}
+
 TEST(DispatcherRecovery, AHigherTokenEndsTheOwner) {
   AddBackend("b1");
   dispatcher->Tick(Now(), true);
