--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -129,7 +129,7 @@
 // An order without a reply may be carried out up to this much later.
 inline constexpr Millis kMaxVmOrderDelay{13'000};
 
-// Maximum age of the state that a list of VMs shows.
+// Maximum age of the state that a list of VMs shows; the platform names none.
 inline constexpr Millis kMaxVmListAge{1000};
 
 struct VmListReply {
