Take only evidence newer than the maintenance for the return of a VM

Operators saw more VMs of a wave down than it allows (LIMIT). Cause: any backend server other than the one at the time of the order was taken for the return, in the registry and in lists of VMs, whenever it had come up and whenever the list was taken. A VM whose move was under way when the order was sent came up with another server before the order was carried out. Class of fault: evidence of one life of a server, or of one moment, taken for another. Each list now carries the time at which it was requested. A list shows the return only if its state is newer than the confirmation of the order; a registered server only if it was first seen after the confirmation, so that its reply to a poll is newer too. A VM is never back before the maintenance time has passed since the order. For replies that come after the return, the first list that is new enough decides; a list that shows the VM in maintenance confirms an order without a reply.

--- a/coordination/include/sapphirewheel/coordination/maintenance_runner.h
+++ b/coordination/include/sapphirewheel/coordination/maintenance_runner.h
@@ -37,8 +37,8 @@
 
   // `finished` are the VMs whose maintenance an earlier owner recorded as finished.
   void AddWave(const WaveOrder& order, const std::set<VmId>& finished);
-  // Takes the platform's list of VMs, which must be complete.
-  void SetVms(const std::vector<VmReport>& vms, MonotonicTime now);
+  // Takes the platform's list of VMs, which must be complete and was requested at `requested`.
+  void SetVms(const std::vector<VmReport>& vms, MonotonicTime requested, MonotonicTime now);
   void OnMaintain(const VmId& vm, std::int64_t wave, VmOrderOutcome outcome, MonotonicTime now);
   void Tick(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now);
 
@@ -62,12 +62,20 @@
   enum class VmPhase { kPending, kFreeing, kOrdered, kDown, kFinished };
   struct VmEntry {
     VmPhase phase = VmPhase::kPending;
+    // When the phase began. For kDown, the maintenance had begun by then.
     MonotonicTime since;
     MonotonicTime retry_at;
-    // The incarnation whose end shows that the maintenance has begun.
-    BackendId previous_backend;
-    // A list of VMs showed it in maintenance after the order.
-    bool seen_in_maintenance = false;
+    // When the first order was sent that may have begun the maintenance.
+    MonotonicTime ordered_at;
+    // The VM is not back before this time.
+    MonotonicTime earliest_return;
+    // Backend servers that the maintenance ends.
+    std::set<BackendId> earlier_backends;
+    // Backend servers that were seen before it was known that the maintenance had begun, so that
+    // they do not show the return of the VM.
+    std::set<BackendId> known_backends;
+    // The backend servers at the beginning of kDown have been added to the known ones.
+    bool down_observed = false;
     // Set while an order without a reply may still be carried out.
     std::optional<MonotonicTime> may_run_until;
   };
@@ -78,8 +86,15 @@
     bool completed = false;
   };
 
-  void TickWave(Wave& wave, const std::map<VmId, const Dispatcher::BackendView*>& by_vm,
-                MonotonicTime now);
+  // The registered backend servers of each VM: more than one while the registry still has one that
+  // has ended.
+  using Servers = std::map<VmId, std::vector<const Dispatcher::BackendView*>>;
+
+  void TickWave(Wave& wave, const Servers& servers, MonotonicTime now);
+  void ObserveServers(VmEntry& entry, const std::vector<const Dispatcher::BackendView*>& servers,
+                      MonotonicTime now);
+  void EndServers(const VmEntry& entry);
+  void BeginDown(Wave& wave, const VmId& vm, VmEntry& entry, MonotonicTime now);
   void SetPhase(Wave& wave, const VmId& vm, VmEntry& entry, VmPhase phase, MonotonicTime now);
 
   Hooks hooks_;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -81,17 +81,19 @@
 void FleetOwner::Impl::ListVms() {
   if (ports.vms == nullptr || vm_list_in_flight || ports.now() < next_vm_list) return;
   vm_list_in_flight = true;
-  const bool newer_than_roster = ports.now() >= taken_at + kMaxVmListAge;
-  ports.vms->List(Guard<const VmListReply&>([this, newer_than_roster](const VmListReply& reply) {
-    vm_list_in_flight = false;
-    next_vm_list = ports.now() + kVmListInterval;
-    if (!newer_than_roster) next_vm_list = std::min(next_vm_list, taken_at + kMaxVmListAge);
-    if (!reply.complete) return;
-    if (newer_than_roster) dispatcher->OnVmList(reply.vms, ports.now());
-    if (!std::exchange(fences_queued, true)) QueueFences(reply.vms);
-    maintenance->SetVms(reply.vms, ports.now());
-    autoscaler->SetVms(reply.vms, ports.now());
-  }));
+  const MonotonicTime requested = ports.now();
+  const bool newer_than_roster = requested >= taken_at + kMaxVmListAge;
+  ports.vms->List(
+      Guard<const VmListReply&>([this, requested, newer_than_roster](const VmListReply& reply) {
+        vm_list_in_flight = false;
+        next_vm_list = ports.now() + kVmListInterval;
+        if (!newer_than_roster) next_vm_list = std::min(next_vm_list, taken_at + kMaxVmListAge);
+        if (!reply.complete) return;
+        if (newer_than_roster) dispatcher->OnVmList(reply.vms, ports.now());
+        if (!std::exchange(fences_queued, true)) QueueFences(reply.vms);
+        maintenance->SetVms(reply.vms, requested, ports.now());
+        autoscaler->SetVms(reply.vms, ports.now());
+      }));
 }
 
 // An order of an earlier owner may be carried out late. Moving a VM to the pool that it is already
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 #include "sapphirewheel/state/json.h"
 
@@ -34,10 +35,22 @@
   if (hooks_.report) hooks_.report(wave.order.number, vm, kNames[static_cast<int>(phase)]);
 }
 
-void MaintenanceRunner::SetVms(const std::vector<VmReport>& vms, MonotonicTime now) {
+void MaintenanceRunner::EndServers(const VmEntry& entry) {
+  for (const BackendId& it : entry.earlier_backends) hooks_.ended(it);
+}
+
+void MaintenanceRunner::BeginDown(Wave& wave, const VmId& vm, VmEntry& entry, MonotonicTime now) {
+  entry.down_observed = false;
+  SetPhase(wave, vm, entry, VmPhase::kDown, now);
+}
+
+void MaintenanceRunner::SetVms(const std::vector<VmReport>& vms, MonotonicTime requested,
+                               MonotonicTime now) {
   vms_by_id_.clear();
   for (const VmReport& it : vms) vms_by_id_[it.vm] = it;
   list_known_ = true;
+  // The list shows the state at this time, or a later one.
+  const MonotonicTime shown = requested - kMaxVmListAge;
   for (auto& [number, wave] : waves_) {
     for (auto& [vm, entry] : wave.vms) {
       if (entry.phase == VmPhase::kFinished) continue;
@@ -47,20 +60,25 @@
         if (!vms.empty()) SetPhase(wave, vm, entry, VmPhase::kFinished, now);
         continue;
       }
-      const bool maintained = it->second.state == VmState::kMaintenance;
-      if (maintained && entry.phase != VmPhase::kDown && entry.phase != VmPhase::kOrdered) {
-        SetPhase(wave, vm, entry, VmPhase::kDown, now);
+      const VmState state = it->second.state;
+      if (entry.phase == VmPhase::kDown) {
+        const bool back = state == VmState::kUp && shown >= entry.since;
+        if (back && now >= entry.earliest_return) {
+          SetPhase(wave, vm, entry, VmPhase::kFinished, now);
+        }
+        continue;
       }
-      if (maintained) entry.seen_in_maintenance = true;
-      // A VM of a spare pool has no backend server that would show its return. A list that shows it
-      // up is newer than one in maintenance, unless it was taken before the order.
-      const Millis passed = now - entry.since;
-      const bool waited = passed > maintenance_time_ + kMaxVmListAge ||
-                          (entry.seen_in_maintenance && passed > kMaxVmListAge);
-      const bool back = it->second.state == VmState::kUp &&
-                        (it->second.backend != entry.previous_backend || waited);
-      if (entry.phase == VmPhase::kDown && back) {
-        SetPhase(wave, vm, entry, VmPhase::kFinished, now);
+      if (state != VmState::kMaintenance) continue;
+      if (entry.phase == VmPhase::kOrdered) {
+        if (shown < entry.ordered_at) continue;
+        EndServers(entry);
+        BeginDown(wave, vm, entry, now);
+      } else {
+        // An earlier owner ordered it.
+        entry.earlier_backends.clear();
+        entry.known_backends.clear();
+        entry.earliest_return = shown;
+        BeginDown(wave, vm, entry, now);
       }
     }
   }
@@ -74,8 +92,8 @@
   if (entry == wave->second.vms.end() || entry->second.phase != VmPhase::kOrdered) return;
   switch (outcome) {
     case VmOrderOutcome::kDone:
-      hooks_.ended(entry->second.previous_backend);
-      SetPhase(wave->second, vm, entry->second, VmPhase::kDown, now);
+      EndServers(entry->second);
+      BeginDown(wave->second, vm, entry->second, now);
       return;
     case VmOrderOutcome::kInvalid:
       SetPhase(wave->second, vm, entry->second, VmPhase::kFinished, now);
@@ -95,48 +113,64 @@
 
 void MaintenanceRunner::Tick(const std::vector<Dispatcher::BackendView>& backends,
                              MonotonicTime now) {
-  std::map<VmId, const Dispatcher::BackendView*> by_vm;
-  std::map<BackendId, const Dispatcher::BackendView*> by_id;
-  for (const auto& it : backends) by_id[it.id] = &it;
-  for (const auto& [vm, report] : vms_by_id_) {
-    if (const auto it = by_id.find(report.backend); it != by_id.end()) by_vm[vm] = it->second;
-  }
+  std::map<BackendId, VmId> listed;
+  for (const auto& [vm, report] : vms_by_id_) listed[report.backend] = vm;
+  Servers servers;
   for (const auto& it : backends) {
-    if (!it.vm.empty()) by_vm[it.vm] = &it;
+    if (!it.vm.empty()) {
+      servers[it.vm].push_back(&it);
+    } else if (const auto vm = listed.find(it.id); vm != listed.end()) {
+      servers[vm->second].push_back(&it);
+    }
   }
   for (auto& [number, wave] : waves_) {
-    if (!wave.completed) TickWave(wave, by_vm, now);
+    if (!wave.completed) TickWave(wave, servers, now);
   }
 }
 
-void MaintenanceRunner::TickWave(Wave& wave,
-                                 const std::map<VmId, const Dispatcher::BackendView*>& by_vm,
-                                 MonotonicTime now) {
+// Records the backend servers of a VM whose maintenance was ordered.
+void MaintenanceRunner::ObserveServers(VmEntry& entry,
+                                       const std::vector<const Dispatcher::BackendView*>& servers,
+                                       MonotonicTime now) {
+  for (const auto* it : servers) {
+    entry.known_backends.insert(it->id);
+    if (now < entry.earliest_return) entry.earlier_backends.insert(it->id);
+  }
+}
+
+void MaintenanceRunner::TickWave(Wave& wave, const Servers& servers, MonotonicTime now) {
   if (!list_known_) return;
+  static const std::vector<const Dispatcher::BackendView*> kNone;
+  const auto servers_of = [&](const VmId& vm) -> const auto& {
+    const auto it = servers.find(vm);
+    return it == servers.end() ? kNone : it->second;
+  };
   int down = 0;
   int freeing = 0;
   bool finished = true;
   std::vector<std::pair<std::int64_t, VmId>> pending;
   for (auto& [vm, entry] : wave.vms) {
+    const auto& present = servers_of(vm);
+    if (entry.phase == VmPhase::kOrdered) ObserveServers(entry, present, now);
+    if (entry.phase == VmPhase::kDown) {
+      const bool observed = std::exchange(entry.down_observed, true);
+      if (!observed || now < entry.earliest_return) ObserveServers(entry, present, now);
+      const bool back = std::any_of(present.begin(), present.end(), [&](const auto* it) {
+        return it->usable && entry.known_backends.count(it->id) == 0;
+      });
+      if (back) SetPhase(wave, vm, entry, VmPhase::kFinished, now);
+    }
     if (entry.phase != VmPhase::kFinished) finished = false;
     if (entry.phase == VmPhase::kDown || entry.phase == VmPhase::kOrdered) ++down;
     if (entry.phase == VmPhase::kFreeing) ++freeing;
-    const auto backend = by_vm.find(vm);
-    const bool there = backend != by_vm.end();
-    const bool back = entry.phase == VmPhase::kDown && there &&
-                      backend->second->id != entry.previous_backend && backend->second->usable;
-    if (back) {
-      SetPhase(wave, vm, entry, VmPhase::kFinished, now);
-      --down;
-    }
     if (entry.phase == VmPhase::kPending) {
-      if (there) hooks_.avoid(backend->second->id, true);
       // Least used VMs first, and VMs with long-running tasks, which have to be moved, last.
       constexpr std::int64_t kLongRunningTaskCost = 100'000;
-      const std::int64_t cost = there
-                                    ? backend->second->used.cpu_millis +
-                                          kLongRunningTaskCost * backend->second->long_running_tasks
-                                    : 0;
+      std::int64_t cost = 0;
+      for (const auto* it : present) {
+        hooks_.avoid(it->id, true);
+        cost += it->used.cpu_millis + kLongRunningTaskCost * it->long_running_tasks;
+      }
       pending.emplace_back(cost, vm);
     }
   }
@@ -146,28 +180,33 @@
     return;
   }
   std::sort(pending.begin(), pending.end());
+  const auto evacuate = [&](const VmId& vm) {
+    for (const auto* it : servers_of(vm)) hooks_.evacuate(it->id, true);
+  };
   for (const auto& [cost, vm] : pending) {
     if (freeing + down >= wave.order.max_down + kFreeAhead) break;
-    VmEntry& entry = wave.vms[vm];
-    if (const auto it = by_vm.find(vm); it != by_vm.end()) hooks_.evacuate(it->second->id, true);
-    SetPhase(wave, vm, entry, VmPhase::kFreeing, now);
+    evacuate(vm);
+    SetPhase(wave, vm, wave.vms[vm], VmPhase::kFreeing, now);
     ++freeing;
   }
   for (auto& [vm, entry] : wave.vms) {
     const bool repeat = entry.phase == VmPhase::kOrdered && entry.may_run_until;
     if (entry.phase != VmPhase::kFreeing && !repeat) continue;
     if (now < entry.retry_at) continue;
-    const auto backend = by_vm.find(vm);
-    const bool there = backend != by_vm.end();
+    const auto& present = servers_of(vm);
     if (!repeat) {
-      if (there) hooks_.evacuate(backend->second->id, true);
+      evacuate(vm);
       const auto listed = vms_by_id_.find(vm);
       const bool up = listed != vms_by_id_.end() && listed->second.state == VmState::kUp;
-      const bool idle = !there || hooks_.is_idle(backend->second->id);
+      const bool idle = std::all_of(present.begin(), present.end(),
+                                    [&](const auto* it) { return hooks_.is_idle(it->id); });
       if (down >= wave.order.max_down || !up || !idle) continue;
-      entry.previous_backend = there ? backend->second->id : listed->second.backend;
       entry.may_run_until.reset();
-      entry.seen_in_maintenance = false;
+      entry.earlier_backends.clear();
+      entry.known_backends.clear();
+      entry.ordered_at = now;
+      entry.earliest_return = now + maintenance_time_;
+      ObserveServers(entry, present, now);
       SetPhase(wave, vm, entry, VmPhase::kOrdered, now);
       ++down;
     }
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -50,7 +50,7 @@
     WaveOrder order{1, {}, Millis(20'000), max_down};
     for (const auto& it : vms) order.vms.push_back(it.vm);
     runner.AddWave(order, {});
-    runner.SetVms(vms, At(0));
+    runner.SetVms(vms, At(0), At(0));
   }
 };
 
@@ -124,9 +124,9 @@
   Start(1);
   runner.Tick(backends, At(0));
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
-  runner.SetVms(vms, At(500));
+  runner.SetVms(vms, At(500), At(500));
   CHECK(runner.IsPending(VmId("v1")));
-  runner.SetVms(vms, At(3100));
+  runner.SetVms(vms, At(3100), At(3100));
   runner.Tick(backends, At(3100));
   CHECK_FALSE(runner.IsPending(VmId("v1")));
   const auto changes = runner.TakeChanges();
@@ -141,16 +141,79 @@
   runner.Tick(backends, At(0));
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
   vms[0].state = VmState::kMaintenance;
-  runner.SetVms(vms, At(300));
+  runner.SetVms(vms, At(300), At(300));
   // A list taken before the order.
   vms[0].state = VmState::kUp;
-  runner.SetVms(vms, At(600));
+  runner.SetVms(vms, At(600), At(600));
   CHECK(runner.IsPending(VmId("v1")));
   vms[0].state = VmState::kMaintenance;
-  runner.SetVms(vms, At(1500));
+  runner.SetVms(vms, At(1500), At(1500));
   CHECK(runner.IsPending(VmId("v1")));
   vms[0].state = VmState::kUp;
-  runner.SetVms(vms, At(2100));
+  runner.SetVms(vms, At(2100), At(2100));
+  CHECK_FALSE(runner.IsPending(VmId("v1")));
+}
+
+// Guards against waves with more VMs down than allowed: a server that came up before the
+// maintenance had begun, by a move that was under way when it was ordered, was taken for the
+// return.
+TEST(MaintenanceRunner, DoesNotTakeAServerOfAnEarlierMoveForTheReturn) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
+  Return("v1");
+  runner.Tick(backends, At(900));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(3000));
+  for (int at = 3000; at < 5000; at += 100) runner.Tick(backends, At(at));
+  CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 0);
+  Return("v1");
+  runner.Tick(backends, At(5100));
+  CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 1);
+}
+
+// Guards against waves with more VMs down than allowed: a list that was requested before the order
+// was confirmed showed another server, which was taken for the return.
+TEST(MaintenanceRunner, DoesNotTakeAListFromBeforeTheConfirmationForTheReturn) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
+  runner.Tick(backends, At(900));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(3000));
+  vms[0].backend = BackendId("moved");
+  runner.SetVms(vms, At(2900), At(3050));
+  runner.SetVms(vms, At(3600), At(3650));
+  runner.Tick(backends, At(3700));
+  CHECK(runner.IsPending(VmId("v1")));
+  CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 0);
+}
+
+// Guards against waves that end late because the reply to an order came after the VM was back.
+TEST(MaintenanceRunner, SeesTheReturnInTheListAfterALateReply) {
+  AddVm("v1");
+  Start(1);
+  runner.Tick(backends, At(0));
+  Return("v1");
+  vms[0].backend = backends[0].id;
+  runner.Tick(backends, At(2100));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(2900));
+  runner.Tick(backends, At(3000));
+  runner.SetVms(vms, At(3900), At(3920));
+  CHECK_FALSE(runner.IsPending(VmId("v1")));
+}
+
+// Guards against waves that end late because no reply shows that an order was carried out.
+TEST(MaintenanceRunner, SeesInTheListThatAnOrderWithoutAReplyWasCarriedOut) {
+  AddVm("v1");
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
+  vms[0].state = VmState::kMaintenance;
+  runner.SetVms(vms, At(1100), At(1120));
+  runner.Tick(backends, At(1200));
+  Return("v1");
+  runner.Tick(backends, At(2100));
   CHECK_FALSE(runner.IsPending(VmId("v1")));
 }
 
@@ -160,7 +223,7 @@
   const auto finished =
       MaintenanceRunner::DecodeFinished(MaintenanceRunner::EncodeFinished({VmId("v1")}));
   runner.AddWave(order, finished);
-  runner.SetVms(vms, At(0));
+  runner.SetVms(vms, At(0), At(0));
   runner.Tick(backends, At(0));
   LONGS_EQUAL(1, ordered.size());
   CHECK(ordered[0] == VmId("v2"));
