Give no work to a server that comes up while a maintenance order is open

A client could lose work without notice, and long-running tasks could end beyond their budget: while an order had no reply, a server that the VM came up with was given work, which the repeated order then ended. Its servers now take no new work until the order is decided; those that turn out to be the return take it again.

--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -31,7 +31,12 @@
   if (entry.phase == phase) return;
   entry.phase = phase;
   entry.since = now;
-  if (phase == VmPhase::kFinished) wave.changed = true;
+  if (phase == VmPhase::kFinished) {
+    wave.changed = true;
+    for (const BackendId& id : entry.known_backends) {
+      if (entry.earlier_backends.count(id) == 0) hooks_.evacuate(id, false);
+    }
+  }
   if (hooks_.report) hooks_.report(wave.order.number, vm, kNames[static_cast<int>(phase)]);
 }
 
@@ -151,7 +156,11 @@
   std::vector<std::pair<std::int64_t, VmId>> pending;
   for (auto& [vm, entry] : wave.vms) {
     const auto& present = servers_of(vm);
-    if (entry.phase == VmPhase::kOrdered) ObserveServers(entry, present, now);
+    if (entry.phase == VmPhase::kOrdered) {
+      ObserveServers(entry, present, now);
+      // Servers that come up before the order is carried out.
+      for (const auto* it : present) hooks_.evacuate(it->id, true);
+    }
     if (entry.phase == VmPhase::kDown) {
       const bool observed = std::exchange(entry.down_observed, true);
       if (!observed || now < entry.earliest_return) ObserveServers(entry, present, now);
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/maintenance_runner.h"
 
 #include <algorithm>
+#include <set>
 
 #include "CppUTest/TestHarness.h"
 
@@ -14,6 +15,7 @@
 
 TEST_GROUP(MaintenanceRunner) {
   std::vector<VmId> ordered;
+  std::set<BackendId> evacuated;
   std::set<BackendId> busy;
   std::vector<Dispatcher::BackendView> backends;
   std::vector<VmReport> vms;
@@ -23,7 +25,9 @@
   MaintenanceRunner::Hooks Hooks() {
     MaintenanceRunner::Hooks hooks;
     hooks.maintain = [this](const VmId& vm, std::int64_t) { ordered.push_back(vm); };
-    hooks.evacuate = [](const BackendId&, bool) {};
+    hooks.evacuate = [this](const BackendId& id, bool on) {
+      on ? void(evacuated.insert(id)) : void(evacuated.erase(id));
+    };
     hooks.avoid = [](const BackendId&, bool) {};
     hooks.is_idle = [this](const BackendId& id) { return busy.count(id) == 0; };
     hooks.ended = [](const BackendId&) {};
@@ -217,6 +221,26 @@
   CHECK_FALSE(runner.IsPending(VmId("v1")));
 }
 
+// Guards against tasks that maintenance ends without notice: a server that came up while the order
+// was open was given work.
+TEST(MaintenanceRunner, AServerThatComesUpWhileAnOrderIsOpenGetsNoWork) {
+  AddVm("v1");
+  Start(1);
+  runner.Tick(backends, At(0));
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
+  Return("v1");
+  const BackendId server = backends[0].id;
+  runner.Tick(backends, At(2200));
+  CHECK(evacuated.count(server) == 1);
+  // It was the return.
+  vms[0].backend = server;
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(2900));
+  runner.Tick(backends, At(3000));
+  CHECK(evacuated.count(server) == 1);
+  runner.SetVms(vms, At(4000), At(4020));
+  CHECK(evacuated.count(server) == 0);
+}
+
 TEST(MaintenanceRunner, SkipsVmsThatAnEarlierOwnerFinished) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 2};
