Take no server for ended that the list of VMs shows on its VM

After a takeover, a list that named another pool for a VM than the roster freed the runs of its server although the list showed that server on it; if it had been cut off, its tasks would have run twice. The identity of the server decides now; the pool only where the VM has none (a spare pool). AServerThatIsListedOnItsVmHasNotEnded was red before (0 starts expected, 1 seen).

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -16,8 +16,8 @@
 // Whether a VM no longer runs a backend server of a pool that it ran before the report.
 bool HasLeft(const VmReport& vm, const BackendId& backend, const PoolId& pool) {
   if (vm.state == VmState::kMoving || vm.state == VmState::kMaintenance) return true;
-  const bool another = !vm.backend.empty() && vm.backend != backend;
-  return vm.state == VmState::kUp && (another || vm.pool != pool);
+  if (vm.state != VmState::kUp) return false;
+  return vm.backend.empty() ? vm.pool != pool : vm.backend != backend;
 }
 
 // Weight of the last interval between two ticks in the mean, as its inverse.
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -343,6 +343,22 @@
   LONGS_EQUAL(1, starts.size());
 }
 
+// Guards against tasks that run twice: a list that names another pool than the roster was taken for
+// the end of a server that it still shows on its VM.
+TEST(DispatcherRecovery, AServerThatIsListedOnItsVmHasNotEnded) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt, VmId("v1")}},
+                         {BackendId("cut-off"), {PoolId("p"), std::nullopt, VmId("v2")}}},
+                        Now());
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(1000);
+  const VmReport listed{VmId("v2"), PoolId("q"), VmState::kUp, BackendId("cut-off")};
+  dispatcher->OnVmList({listed}, Now());
+  Advance(100);
+  LONGS_EQUAL(0, starts.size());
+}
+
 // Guards against waves that end late because each move of a long-running task waits for a poll that
 // waits for the end of a run.
 TEST(DispatcherRecovery, PollsDoNotWaitLongWhileALongRunningTaskStartsUp) {
