End only the server that a VM had when its move was ordered

Tasks ran twice: a late reply to a move (slow service, or a repeated order answered as already done) ended the server with which the VM was already up in its new pool, so that its runs were started elsewhere while they went on, and its room counted as free. Cause: the server to be ended was looked up when the reply came. The servers at the time of the order are kept with it, and only they are ended or given work again.

--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -96,6 +96,8 @@
     std::optional<PoolId> target;
     MonotonicTime ordered_at;
     bool order_in_flight = false;
+    // Backend servers that the VM had when the move was ordered, which ends them.
+    std::set<BackendId> leaving;
     // Set after an order without a reply, until it is repeated.
     std::optional<MonotonicTime> retry_at;
     // The VM is not moved again before this time, as an order without a reply may still be carried
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -68,7 +68,8 @@
   VmEntry& entry = it->second;
   entry.order_in_flight = false;
   if (outcome == VmOrderOutcome::kDone) {
-    if (!entry.backend.empty()) hooks_.ended(entry.backend);
+    // The VM may already be up in the new pool, if the reply was late.
+    for (const BackendId& id : entry.leaving) hooks_.ended(id);
     entry.retry_at.reset();
     entry.report.state = VmState::kMoving;
     entry.report.pool = *entry.target;
@@ -86,7 +87,7 @@
   entry.target.reset();
   entry.retry_at.reset();
   entry.idle_since = now;
-  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, false);
+  for (const BackendId& id : entry.leaving) hooks_.evacuate(id, false);
 }
 
 void PoolAutoscaler::UpdatePools(const std::vector<Dispatcher::BackendView>& backends,
@@ -184,7 +185,11 @@
   entry.target = target;
   entry.ordered_at = now;
   entry.order_in_flight = true;
-  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, true);
+  entry.leaving.clear();
+  if (!entry.backend.empty()) {
+    entry.leaving.insert(entry.backend);
+    hooks_.evacuate(entry.backend, true);
+  }
   if (hooks_.report) {
     hooks_.report(vm.str() + " from " + entry.report.pool.str() + " to " + target.str() +
                   ", wanted " + std::to_string(Wanted(target)));
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/pool_autoscaler.h"
 
 #include <algorithm>
+#include <set>
 
 #include "CppUTest/TestHarness.h"
 
@@ -17,6 +18,8 @@
 
 TEST_GROUP(PoolAutoscaler) {
   std::vector<std::pair<VmId, PoolId>> moves;
+  std::set<BackendId> evacuated;
+  std::set<BackendId> ended;
   std::vector<Dispatcher::BackendView> backends;
   std::vector<VmReport> vms;
   std::map<PoolId, Dispatcher::PoolLoad> loads;
@@ -25,8 +28,10 @@
   PoolAutoscaler::Hooks Hooks() {
     PoolAutoscaler::Hooks hooks;
     hooks.move = [this](const VmId& vm, const PoolId& pool) { moves.emplace_back(vm, pool); };
-    hooks.evacuate = [](const BackendId&, bool) {};
-    hooks.ended = [](const BackendId&) {};
+    hooks.evacuate = [this](const BackendId& id, bool on) {
+      on ? void(evacuated.insert(id)) : void(evacuated.erase(id));
+    };
+    hooks.ended = [this](const BackendId& id) { ended.insert(id); };
     return hooks;
   }
 
@@ -57,6 +62,21 @@
     autoscaler.SetVms(vms, At(0));
   }
 
+  Dispatcher::BackendView& ServerOf(const VmId& vm) {
+    return *std::find_if(backends.begin(), backends.end(),
+                         [&](const auto& it) { return it.vm == vm; });
+  }
+
+  // Lets an idle VM of pool a be moved to pool b.
+  VmId MoveFromAToB() {
+    AddVms("a", 3, 0);
+    AddVms("b", 2, 3);
+    loads[PoolId("b")].waiting_work = 40 * kServerSecond;
+    RunTicks(0, 1100);
+    LONGS_EQUAL(1, moves.size());
+    return moves[0].first;
+  }
+
   void RunTicks(int from, int to, bool all_reserved = false) {
     for (int at = from; at <= to; at += 100) {
       autoscaler.Tick(
@@ -230,3 +250,17 @@
   LONGS_EQUAL(1, moves.size());
   CHECK(moves[0] == std::make_pair(vm, PoolId("off")));
 }
+
+// Guards against tasks that run twice: a late reply to a move ended the server with which the VM
+// was already up in its new pool, so that the runs there were started elsewhere.
+TEST(PoolAutoscaler, ALateReplyToAMoveEndsOnlyTheServerThatTheVmHadBefore) {
+  const VmId vm = MoveFromAToB();
+  Dispatcher::BackendView& server = ServerOf(vm);
+  const BackendId before = server.id;
+  server.id = BackendId("moved");
+  server.pool = PoolId("b");
+  RunTicks(3000, 3500);
+  autoscaler.OnMove(vm, VmOrderOutcome::kDone, At(3550));
+  CHECK(ended == std::set<BackendId>{before});
+  CHECK(evacuated.count(BackendId("moved")) == 0);
+}
