Give no work to a server that replaces that of a VM during its move

A client could lose work without notice: a server that replaced the one of a VM in its old pool while the move was open was given work, which the move then ended. It now takes no new work, and ends with the move; what was repeated before the VM arrived is not repeated for a later move. AServerThatComesUpInTheOldPoolDuringAMoveGetsNoWork was red before.

--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -96,7 +96,8 @@
     std::optional<PoolId> target;
     MonotonicTime ordered_at;
     bool order_in_flight = false;
-    // Backend servers that the VM had when the move was ordered, which ends them.
+    // Backend servers that the move ends: those that the VM had when it was ordered, and later ones
+    // outside the target pool.
     std::set<BackendId> leaving;
     // Set after an order without a reply, until it is repeated.
     std::optional<MonotonicTime> retry_at;
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -109,9 +109,13 @@
     } else if (const auto named = by_id.find(entry.report.backend); named != by_id.end()) {
       view = named->second;
     }
-    const bool arrived = view != nullptr && entry.target && view->pool == *entry.target;
-    if (arrived && !entry.order_in_flight) {
+    const bool moving = view != nullptr && entry.target && entry.leaving.count(view->id) == 0;
+    if (moving && view->pool != *entry.target) {
+      entry.leaving.insert(view->id);
+      hooks_.evacuate(view->id, true);
+    } else if (moving && !entry.order_in_flight) {
       entry.target.reset();
+      entry.retry_at.reset();
       entry.report.state = VmState::kUp;
       entry.report.pool = view->pool;
     }
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -264,3 +264,15 @@
   CHECK(ended == std::set<BackendId>{before});
   CHECK(evacuated.count(BackendId("moved")) == 0);
 }
+
+// Guards against tasks that are ended without notice: a server that replaced that of the VM while
+// its move was open was given work.
+TEST(PoolAutoscaler, AServerThatComesUpInTheOldPoolDuringAMoveGetsNoWork) {
+  const VmId vm = MoveFromAToB();
+  const BackendId before = ServerOf(vm).id;
+  ServerOf(vm).id = BackendId("restarted");
+  RunTicks(1200, 1300);
+  CHECK(evacuated.count(BackendId("restarted")) == 1);
+  autoscaler.OnMove(vm, VmOrderOutcome::kDone, At(1350));
+  CHECK((ended == std::set<BackendId>{before, BackendId("restarted")}));
+}
