Give a VM no work while a move without a reply may still be carried out

A client could lose work, and long-running tasks end beyond their budget: when the repetition of a move without a reply was refused, the VM was given work again, although the first order may be carried out for another 13 s and ends all that runs. The move is now repeated until it is confirmed or can no longer be carried out. AVmGetsNoWorkWhileAMoveWithoutAReplyMayStillBeCarriedOut was red before.

--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -101,6 +101,8 @@
     std::set<BackendId> leaving;
     // Set after an order without a reply, until it is repeated.
     std::optional<MonotonicTime> retry_at;
+    // Set while an order of the present move without a reply may still be carried out.
+    std::optional<MonotonicTime> may_run_until;
     // The VM is not moved again before this time, as an order without a reply may still be carried
     // out.
     MonotonicTime hold_until;
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -11,6 +11,8 @@
 constexpr Millis kMoveTimeout{6000};
 // Delay before a move without a reply is repeated.
 constexpr Millis kMoveRetry{200};
+// The same for a move that was refused while an earlier order may still be carried out.
+constexpr Millis kRefusedMoveRetry{400};
 
 }  // namespace
 
@@ -71,6 +73,7 @@
     // The VM may already be up in the new pool, if the reply was late.
     for (const BackendId& id : entry.leaving) hooks_.ended(id);
     entry.retry_at.reset();
+    entry.may_run_until.reset();
     entry.report.state = VmState::kMoving;
     entry.report.pool = *entry.target;
     entry.backend = BackendId();
@@ -81,9 +84,16 @@
     entry.retry_at = now + kMoveRetry;
     // A move that is carried out late must not affect the VM in a later pool.
     entry.hold_until = now + kMaxVmOrderDelay;
+    entry.may_run_until = entry.hold_until;
+    return;
+  }
+  if (outcome == VmOrderOutcome::kInvalid) {
+    refused_[vm].push_back(*entry.target);
+  } else if (entry.may_run_until && now < *entry.may_run_until) {
+    // The refusal does not show the outcome of the earlier order, which would end new work.
+    entry.retry_at = now + kRefusedMoveRetry;
     return;
   }
-  if (outcome == VmOrderOutcome::kInvalid) refused_[vm].push_back(*entry.target);
   entry.target.reset();
   entry.retry_at.reset();
   entry.idle_since = now;
@@ -189,6 +199,7 @@
   entry.target = target;
   entry.ordered_at = now;
   entry.order_in_flight = true;
+  entry.may_run_until.reset();
   entry.leaving.clear();
   if (!entry.backend.empty()) {
     entry.leaving.insert(entry.backend);
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -276,3 +276,23 @@
   autoscaler.OnMove(vm, VmOrderOutcome::kDone, At(1350));
   CHECK((ended == std::set<BackendId>{before, BackendId("restarted")}));
 }
+
+// Guards against tasks that are ended by a move that is carried out late: after a refusal of its
+// repetition the VM was given work again.
+TEST(PoolAutoscaler, AVmGetsNoWorkWhileAMoveWithoutAReplyMayStillBeCarriedOut) {
+  const VmId vm = MoveFromAToB();
+  const BackendId server = ServerOf(vm).id;
+  autoscaler.OnMove(vm, VmOrderOutcome::kUnknown, At(1200));
+  int at = 1200;
+  for (const auto& outcome : {VmOrderOutcome::kBusy, VmOrderOutcome::kNotDone}) {
+    const std::size_t sent = moves.size();
+    RunTicks(at + 100, at + 1000);
+    at += 1000;
+    LONGS_EQUAL(sent + 1, moves.size());
+    autoscaler.OnMove(vm, outcome, At(at));
+    CHECK(evacuated.count(server) == 1);
+  }
+  RunTicks(14'000, 14'100);
+  autoscaler.OnMove(vm, VmOrderOutcome::kBusy, At(14'300));
+  CHECK(evacuated.count(server) == 0);
+}
