Send a fence only to VMs that are unchanged, and hold them

Long-running tasks could be ended by the fence that should protect them: it moves a VM to the pool of the list, also if the VM was moved since, and one without a reply may be carried out when the VM is in a later pool. The server that the list named must still run long-running tasks in that pool when the fence is sent, and the VM is not moved while the fence may be carried out. AreNotSentForVmsThatHaveChangedSinceTheList and DoesNotMoveAVmThatIsHeld were red before.

--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -53,6 +53,8 @@
   void SetConfig(std::shared_ptr<const DispatchConfig> config) { config_ = std::move(config); }
   void SetVms(const std::vector<VmReport>& vms, MonotonicTime now);
   void OnMove(const VmId& vm, VmOrderOutcome outcome, MonotonicTime now);
+  // Does not move a VM before a time, as an order to it may still be carried out.
+  void Hold(const VmId& vm, MonotonicTime until);
   // `reserved` returns whether a VM is due for maintenance; such VMs are not moved.
   void Tick(const std::vector<Dispatcher::BackendView>& backends,
             const std::map<PoolId, Dispatcher::PoolLoad>& loads,
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -90,34 +90,26 @@
         if (!newer_than_roster) next_vm_list = std::min(next_vm_list, taken_at + kMaxVmListAge);
         if (!reply.complete) return;
         if (newer_than_roster) dispatcher->OnVmList(reply.vms, ports.now());
-        if (!std::exchange(fences_queued, true)) QueueFences(reply.vms);
+        if (!std::exchange(fences_queued, true) && lease.token() > Epoch(1)) {
+          fences.Queue(reply.vms, dispatcher->Backends());
+        }
         maintenance->SetVms(reply.vms, requested, ports.now());
         autoscaler->SetVms(reply.vms, ports.now());
       }));
 }
 
-// An order of an earlier owner may be carried out late. Moving a VM to the pool that it is already
-// in changes nothing, but shows the platform the new fencing token, so that it refuses older
-// orders. Done only for VMs with long-running tasks, which a late order would interrupt.
-void FleetOwner::Impl::QueueFences(const std::vector<VmReport>& vms) {
-  if (lease.token() <= Epoch(1)) return;
-  std::set<BackendId> serving;
-  for (const auto& it : dispatcher->Backends()) {
-    if (it.long_running_tasks > 0) serving.insert(it.id);
-  }
-  for (const VmReport& it : vms) {
-    if (it.state == VmState::kUp && serving.count(it.backend) > 0) {
-      pending_fences.emplace_back(it.vm, it.pool);
-    }
-  }
-}
-
+// An order of an earlier owner may be carried out late.
 void FleetOwner::Impl::SendFence() {
-  if (pending_fences.empty()) return;
-  const auto [vm, pool] = pending_fences.back();
-  pending_fences.pop_back();
-  // A VM with long-running tasks is not moved, so it is still in this pool.
-  ports.vms->Move(vm, pool, lease.permit(), OnVmOrder(nullptr));
+  if (fences.empty()) return;
+  const auto fence = fences.Take(dispatcher->Backends());
+  if (!fence) return;
+  // The fence itself may be carried out late, and must not move the VM back from a later pool.
+  const VmId vm = fence->first;
+  autoscaler->Hold(vm, ports.now() + kMaxVmOrderDelay);
+  ports.vms->Move(vm, fence->second, lease.permit(), OnVmOrder([this, vm](VmOrderOutcome it) {
+                    if (it != VmOrderOutcome::kUnknown) return;
+                    autoscaler->Hold(vm, ports.now() + kMaxVmOrderDelay);
+                  }));
 }
 
 std::function<void(VmOrderOutcome)> FleetOwner::Impl::OnVmOrder(
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -12,6 +12,7 @@
 
 #include "read_pacer.h"
 #include "sapphirewheel/coordination/fleet_owner.h"
+#include "sapphirewheel/coordination/vm_fences.h"
 #include "store_timeouts.h"
 
 namespace sapphirewheel {
@@ -88,7 +89,6 @@
 
   // fleet_owner.cc
   void ListVms();
-  void QueueFences(const std::vector<VmReport>& vms);
   void SendFence();
   void Tick(MonotonicTime now);
   // Logs what the pools need and have, and what placement cost, once in kLoadReportInterval.
@@ -128,8 +128,7 @@
   // Orders to VMs without an outcome. The ownership is not released before it is 0, because the
   // next owner may order the same VM at once.
   int open_vm_orders = 0;
-  // VMs for which the platform has yet to see this owner's fencing token.
-  std::vector<std::pair<VmId, PoolId>> pending_fences;
+  VmFences fences;
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
   // VMs of each wave that earlier owners recorded as finished.
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -100,6 +100,11 @@
   for (const BackendId& id : entry.leaving) hooks_.evacuate(id, false);
 }
 
+void PoolAutoscaler::Hold(const VmId& vm, MonotonicTime until) {
+  const auto it = vms_.find(vm);
+  if (it != vms_.end()) it->second.hold_until = std::max(it->second.hold_until, until);
+}
+
 void PoolAutoscaler::UpdatePools(const std::vector<Dispatcher::BackendView>& backends,
                                  MonotonicTime now) {
   std::map<BackendId, const Dispatcher::BackendView*> by_id;
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -296,3 +296,14 @@
   autoscaler.OnMove(vm, VmOrderOutcome::kBusy, At(14'300));
   CHECK(evacuated.count(server) == 0);
 }
+
+// Guards against work that is ended by a repeated order of another kind that is carried out late.
+TEST(PoolAutoscaler, DoesNotMoveAVmThatIsHeld) {
+  AddVms("a", 3, 0);
+  AddVms("b", 2, 0);
+  for (const auto& it : vms) autoscaler.Hold(it.vm, At(4000));
+  RunTicks(0, 3900);
+  LONGS_EQUAL(0, moves.size());
+  RunTicks(4000, 4500);
+  LONGS_EQUAL(1, moves.size());
+}
