--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -53,6 +53,8 @@
   void SetConfig(std::shared_ptr<const DispatchConfig> config) { config_ = std::move(config); }
   void SetVms(const std::vector<VmReport>& vms, MonotonicTime now);
   void OnMove(const VmId& vm, VmOrderOutcome outcome, MonotonicTime now);
+  // Does not move a VM before a time, as an order to it may still be carried out.
+  void Hold(const VmId& vm, MonotonicTime until);
   // `reserved` returns whether a VM is due for maintenance; such VMs are not moved.
   void Tick(const std::vector<Dispatcher::BackendView>& backends,
             const std::map<PoolId, Dispatcher::PoolLoad>& loads,
@@ -96,8 +98,13 @@
     std::optional<PoolId> target;
     MonotonicTime ordered_at;
     bool order_in_flight = false;
+    // Backend servers that the move ends: those that the VM had when it was ordered, and later ones
+    // outside the target pool.
+    std::set<BackendId> leaving;
     // Set after an order without a reply, until it is repeated.
     std::optional<MonotonicTime> retry_at;
+    // Set while an order of the present move without a reply may still be carried out.
+    std::optional<MonotonicTime> may_run_until;
     // The VM is not moved again before this time, as an order without a reply may still be carried
     // out.
     MonotonicTime hold_until;
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -11,6 +11,8 @@
 constexpr Millis kMoveTimeout{6000};
 // Delay before a move without a reply is repeated.
 constexpr Millis kMoveRetry{200};
+// The same for a move that was refused while an earlier order may still be carried out.
+constexpr Millis kRefusedMoveRetry{400};
 
 }  // namespace
 
@@ -68,8 +70,10 @@
   VmEntry& entry = it->second;
   entry.order_in_flight = false;
   if (outcome == VmOrderOutcome::kDone) {
-    if (!entry.backend.empty()) hooks_.ended(entry.backend);
+    // The VM may already be up in the new pool, if the reply was late.
+    for (const BackendId& id : entry.leaving) hooks_.ended(id);
     entry.retry_at.reset();
+    entry.may_run_until.reset();
     entry.report.state = VmState::kMoving;
     entry.report.pool = *entry.target;
     entry.backend = BackendId();
@@ -80,13 +84,25 @@
     entry.retry_at = now + kMoveRetry;
     // A move that is carried out late must not affect the VM in a later pool.
     entry.hold_until = now + kMaxVmOrderDelay;
+    entry.may_run_until = entry.hold_until;
+    return;
+  }
+  if (outcome == VmOrderOutcome::kInvalid) {
+    refused_[vm].push_back(*entry.target);
+  } else if (entry.may_run_until && now < *entry.may_run_until) {
+    // The refusal does not show the outcome of the earlier order, which would end new work.
+    entry.retry_at = now + kRefusedMoveRetry;
     return;
   }
-  if (outcome == VmOrderOutcome::kInvalid) refused_[vm].push_back(*entry.target);
   entry.target.reset();
   entry.retry_at.reset();
   entry.idle_since = now;
-  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, false);
+  for (const BackendId& id : entry.leaving) hooks_.evacuate(id, false);
+}
+
+void PoolAutoscaler::Hold(const VmId& vm, MonotonicTime until) {
+  const auto it = vms_.find(vm);
+  if (it != vms_.end()) it->second.hold_until = std::max(it->second.hold_until, until);
 }
 
 void PoolAutoscaler::UpdatePools(const std::vector<Dispatcher::BackendView>& backends,
@@ -108,9 +124,13 @@
     } else if (const auto named = by_id.find(entry.report.backend); named != by_id.end()) {
       view = named->second;
     }
-    const bool arrived = view != nullptr && entry.target && view->pool == *entry.target;
-    if (arrived && !entry.order_in_flight) {
+    const bool moving = view != nullptr && entry.target && entry.leaving.count(view->id) == 0;
+    if (moving && view->pool != *entry.target) {
+      entry.leaving.insert(view->id);
+      hooks_.evacuate(view->id, true);
+    } else if (moving && !entry.order_in_flight) {
       entry.target.reset();
+      entry.retry_at.reset();
       entry.report.state = VmState::kUp;
       entry.report.pool = view->pool;
     }
@@ -184,7 +204,12 @@
   entry.target = target;
   entry.ordered_at = now;
   entry.order_in_flight = true;
-  if (!entry.backend.empty()) hooks_.evacuate(entry.backend, true);
+  entry.may_run_until.reset();
+  entry.leaving.clear();
+  if (!entry.backend.empty()) {
+    entry.leaving.insert(entry.backend);
+    hooks_.evacuate(entry.backend, true);
+  }
   if (hooks_.report) {
     hooks_.report(vm.str() + " from " + entry.report.pool.str() + " to " + target.str() +
                   ", wanted " + std::to_string(Wanted(target)));
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/pool_autoscaler.h"
 
 #include <algorithm>
+#include <set>
 
 #include "CppUTest/TestHarness.h"
 
@@ -17,6 +18,8 @@
 
 TEST_GROUP(PoolAutoscaler) {
   std::vector<std::pair<VmId, PoolId>> moves;
+  std::set<BackendId> evacuated;
+  std::set<BackendId> ended;
   std::vector<Dispatcher::BackendView> backends;
   std::vector<VmReport> vms;
   std::map<PoolId, Dispatcher::PoolLoad> loads;
@@ -25,8 +28,10 @@
   PoolAutoscaler::Hooks Hooks() {
     PoolAutoscaler::Hooks hooks;
     hooks.move = [this](const VmId& vm, const PoolId& pool) { moves.emplace_back(vm, pool); };
-    hooks.evacuate = [](const BackendId&, bool) {};
-    hooks.ended = [](const BackendId&) {};
+    hooks.evacuate = [this](const BackendId& id, bool on) {
+      on ? void(evacuated.insert(id)) : void(evacuated.erase(id));
+    };
+    hooks.ended = [this](const BackendId& id) { ended.insert(id); };
     return hooks;
   }
 
@@ -57,6 +62,21 @@
     autoscaler.SetVms(vms, At(0));
   }
 
+  Dispatcher::BackendView& ServerOf(const VmId& vm) {
+    return *std::find_if(backends.begin(), backends.end(),
+                         [&](const auto& it) { return it.vm == vm; });
+  }
+
+  // Lets an idle VM of pool a be moved to pool b.
+  VmId MoveFromAToB() {
+    AddVms("a", 3, 0);
+    AddVms("b", 2, 3);
+    loads[PoolId("b")].waiting_work = 40 * kServerSecond;
+    RunTicks(0, 1100);
+    LONGS_EQUAL(1, moves.size());
+    return moves[0].first;
+  }
+
   void RunTicks(int from, int to, bool all_reserved = false) {
     for (int at = from; at <= to; at += 100) {
       autoscaler.Tick(
@@ -230,3 +250,60 @@
   LONGS_EQUAL(1, moves.size());
   CHECK(moves[0] == std::make_pair(vm, PoolId("off")));
 }
+
+// Guards against tasks that run twice: a late reply to a move ended the server with which the VM
+// was already up in its new pool, so that the runs there were started elsewhere.
+TEST(PoolAutoscaler, ALateReplyToAMoveEndsOnlyTheServerThatTheVmHadBefore) {
+  const VmId vm = MoveFromAToB();
+  Dispatcher::BackendView& server = ServerOf(vm);
+  const BackendId before = server.id;
+  server.id = BackendId("moved");
+  server.pool = PoolId("b");
+  RunTicks(3000, 3500);
+  autoscaler.OnMove(vm, VmOrderOutcome::kDone, At(3550));
+  CHECK(ended == std::set<BackendId>{before});
+  CHECK(evacuated.count(BackendId("moved")) == 0);
+}
+
+// Guards against tasks that are ended without notice: a server that replaced that of the VM while
+// its move was open was given work.
+TEST(PoolAutoscaler, AServerThatComesUpInTheOldPoolDuringAMoveGetsNoWork) {
+  const VmId vm = MoveFromAToB();
+  const BackendId before = ServerOf(vm).id;
+  ServerOf(vm).id = BackendId("restarted");
+  RunTicks(1200, 1300);
+  CHECK(evacuated.count(BackendId("restarted")) == 1);
+  autoscaler.OnMove(vm, VmOrderOutcome::kDone, At(1350));
+  CHECK((ended == std::set<BackendId>{before, BackendId("restarted")}));
+}
+
+// Guards against tasks that are ended by a move that is carried out late: after a refusal of its
+// repetition the VM was given work again.
+TEST(PoolAutoscaler, AVmGetsNoWorkWhileAMoveWithoutAReplyMayStillBeCarriedOut) {
+  const VmId vm = MoveFromAToB();
+  const BackendId server = ServerOf(vm).id;
+  autoscaler.OnMove(vm, VmOrderOutcome::kUnknown, At(1200));
+  int at = 1200;
+  for (const auto& outcome : {VmOrderOutcome::kBusy, VmOrderOutcome::kNotDone}) {
+    const std::size_t sent = moves.size();
+    RunTicks(at + 100, at + 1000);
+    at += 1000;
+    LONGS_EQUAL(sent + 1, moves.size());
+    autoscaler.OnMove(vm, outcome, At(at));
+    CHECK(evacuated.count(server) == 1);
+  }
+  RunTicks(14'000, 14'100);
+  autoscaler.OnMove(vm, VmOrderOutcome::kBusy, At(14'300));
+  CHECK(evacuated.count(server) == 0);
+}
+
+// Guards against work that is ended by a repeated order of another kind that is carried out late.
+TEST(PoolAutoscaler, DoesNotMoveAVmThatIsHeld) {
+  AddVms("a", 3, 0);
+  AddVms("b", 2, 0);
+  for (const auto& it : vms) autoscaler.Hold(it.vm, At(4000));
+  RunTicks(0, 3900);
+  LONGS_EQUAL(0, moves.size());
+  RunTicks(4000, 4500);
+  LONGS_EQUAL(1, moves.size());
+}
