Wait for the tasks of a server that left the registry before its VM is maintained

Callers could see: a long-running task runs twice (TWICE), or is ended without its budget (AVAIL). Cause: a server that is cut off leaves the registry and goes on running its tasks. The wave took a VM without a registered server for idle, ordered its maintenance, and the reply 200 freed the run, which lived on. MaintenanceRunner.WaitsForTheTasksOfAServerThatLeftTheRegistry is red before (1 order, 0 expected). Why it works: the server is also known by the list of VMs, and the dispatcher keeps its runs until they are known to have ended.

--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -207,9 +207,11 @@
       evacuate(vm);
       const auto listed = vms_by_id_.find(vm);
       const bool up = listed != vms_by_id_.end() && listed->second.state == VmState::kUp;
-      const bool idle = std::all_of(present.begin(), present.end(),
+      // A server that has left the registry, such as one that is cut off, may still run tasks.
+      const bool idle = up && hooks_.is_idle(listed->second.backend) &&
+                        std::all_of(present.begin(), present.end(),
                                     [&](const auto* it) { return hooks_.is_idle(it->id); });
-      if (down >= wave.order.max_down || !up || !idle) continue;
+      if (down >= wave.order.max_down || !idle) continue;
       entry.may_run_until.reset();
       entry.earlier_backends.clear();
       entry.known_backends.clear();
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -83,6 +83,20 @@
 }
 
 // An order without a reply may have been carried out.
+// Guards against two runs of a task: a server that is cut off from the registry still runs its
+// tasks, which the maintenance of its VM would give up.
+TEST(MaintenanceRunner, WaitsForTheTasksOfAServerThatLeftTheRegistry) {
+  AddVm("v1");
+  busy.insert(BackendId("b-v1"));
+  backends.clear();
+  Start(1);
+  runner.Tick(backends, At(0));
+  LONGS_EQUAL(0, ordered.size());
+  busy.clear();
+  runner.Tick(backends, At(100));
+  LONGS_EQUAL(1, ordered.size());
+}
+
 TEST(MaintenanceRunner, CountsAnOrderWithoutAReplyAsDownAndRepeatsIt) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
