Do not write ends of leases too early while the table service is slow

What callers could see: a task that runs twice, or runs again after it was done. A successor waits for the runs of a backend server that its predecessor gave up until the time in the roster.

The time is by the store's clock, which the owner knows from its last reply. The owner took the clock as of the arrival of the reply; with a reply that took d, the time in the roster was too early by d. It now takes the clock as of when the call was sent, so that the time may be late but not early.

The simulation gains late replies of the table service, cuts between single nodes and backend servers, and backend servers that are not heard.

--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -17,7 +17,7 @@
 void FleetOwner::Impl::Load() {
   loading = true;
   ports.store.Read(RowRange{rows::kOwned, rows::kOwnerPart, "", "", 0}, kStoreTimeout,
-                   OnRows([this](const RowsReply& reply) {
+                   OnRows([this, sent = ports.now()](const RowsReply& reply) {
                      if (reply.outcome != StoreOutcome::kDone) {
                        loading = false;
                        retry_load = ports.now() + kStoreRetryDelay;
@@ -27,6 +27,7 @@
                      registry_feed.after = reply.newest;
                      newest_seen = reply.newest;
                      store_now = reply.now;
+                     store_asked_at = sent;
                      store_read_at = ports.now();
                      for (const StoredRow& row : reply.rows) ApplyOwnedRow(row);
                      LoadTables();
@@ -48,13 +49,14 @@
   ReadJobs("", completion, [this](const StoredRow& row) { loaded_jobs.push_back(row); });
 }
 
-// Times in the row are by the store's clock, which all owners share.
+// Times in the row are by the store's clock, which all owners share. They may be too late, by the
+// duration of a call, but not too early.
 std::string FleetOwner::Impl::EncodeRoster(const Roster& entries) const {
   boost::json::object row;
   for (const auto& [id, entry] : entries) {
     boost::json::array value{entry.pool.str(), nullptr, entry.vm.str()};
     if (entry.runs_end_by && store_now.count() > 0) {
-      value[1] = store_now.count() + (*entry.runs_end_by - store_read_at).count();
+      value[1] = store_now.count() + (*entry.runs_end_by - store_asked_at).count();
     }
     row[id.str()] = std::move(value);
   }
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -173,8 +173,10 @@
   std::map<std::int64_t, std::string> wave_rows;
   std::map<std::int64_t, bool> status_writes;
   bool status_in_flight = false;
-  // The store's clock at `store_read_at`.
+  // The store's clock in its last reply, and when the call was sent and the reply was here: the
+  // clock was read between the two.
   StoreClock store_now;
+  MonotonicTime store_asked_at;
   MonotonicTime store_read_at;
   MonotonicTime next_vm_list;
   bool vm_list_in_flight = false;
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -104,6 +104,7 @@
   commit_time = done ? std::max(took, (commit_time + took) / 2) : std::max(commit_time, took);
   if (done) {
     store_now = reply.now;
+    store_asked_at = sent;
     store_read_at = ports.now();
     if (renewed) {
       if (renewed_revision != Revision()) {
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -147,6 +147,12 @@
   std::int64_t owner_killed = -1'000'000;
   // When an owner last loaded the stored state.
   std::int64_t loaded_at = -1;
+  // Time by which replies of the table service are later than what they tell.
+  std::int64_t store_reply_delay = 0;
+  // Backend servers that a node cannot reach although others may.
+  std::set<std::pair<int, BackendId>> cuts;
+  // Backend servers that carry orders out but whose replies are lost.
+  std::set<BackendId> unheard;
 
  private:
   friend class SimStore;
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -194,6 +194,11 @@
   void DeliverRows(std::int64_t delay, Millis timeout, const RowsReply& reply,
                    const RowsCallback& done) {
     const std::int64_t rate = sim_.settings_.link_bytes_per_ms;
+    delay += sim_.store_reply_delay;
+    if (delay > timeout.count()) {
+      Deliver(timeout.count(), RowsReply{}, done);
+      return;
+    }
     if (rate == 0) {
       Deliver(delay, reply, done);
       return;
@@ -256,22 +261,26 @@
     const std::int64_t latency = 1 + sim_.Draw(5);
     sim_.At(sim_.now_ + latency, [this, order, once, latency] {
       const auto it = sim_.backends.find(order.backend);
-      if (it == sim_.backends.end() || !it->second.alive || it->second.disconnected) return;
-      sim_.PollBackend(it->second, order, [this, once, latency](const PollReply& reply) {
+      if (it == sim_.backends.end() || !it->second.alive || IsCutOff(it->second)) return;
+      sim_.PollBackend(it->second, order, [this, order, once, latency](const PollReply& reply) {
         if (sim_.Draw() < sim_.settings_.faults.lost_order_replies) return;
+        if (sim_.unheard.count(order.backend) > 0) return;
         sim_.At(sim_.now_ + latency, [this, once, reply] { DeliverNow(reply, once); });
       });
     });
   }
 
  private:
+  bool IsCutOff(const FleetSim::Backend& backend) const {
+    return backend.disconnected || sim_.cuts.count({node_, backend.report.id}) > 0;
+  }
+
   template <typename Handler>
   void Send(const BackendId& id, const std::function<void(const OrderReply&)>& done,
             Handler handle_order) {
     constexpr std::int64_t kTimeout = 900;
     const auto it = sim_.backends.find(id);
-    const bool reachable =
-        it != sim_.backends.end() && it->second.alive && !it->second.disconnected;
+    const bool reachable = it != sim_.backends.end() && it->second.alive && !IsCutOff(it->second);
     if (!reachable) {
       sim_.At(sim_.now_ + kTimeout, [this, done] { DeliverNow(OrderReply{}, done); });
       return;
@@ -290,9 +299,10 @@
     sim_.At(sim_.now_ + latency, [this, id, handle_order, done, latency] {
       const auto found = sim_.backends.find(id);
       const bool there =
-          found != sim_.backends.end() && found->second.alive && !found->second.disconnected;
+          found != sim_.backends.end() && found->second.alive && !IsCutOff(found->second);
       const OrderReply reply = there ? handle_order(found->second) : OrderReply{};
-      const bool lost = !there || sim_.Draw() < sim_.settings_.faults.lost_order_replies;
+      const bool lost = !there || sim_.unheard.count(id) > 0 ||
+                        sim_.Draw() < sim_.settings_.faults.lost_order_replies;
       sim_.At(sim_.now_ + (lost ? kTimeout : latency),
               [this, done, reply, lost] { DeliverNow(lost ? OrderReply{} : reply, done); });
     });
