Let only the present address of a server tell that it has ended

What callers could see: a task that runs twice, and more work on a server than it has room for. A reply 421 to an order that was sent to an earlier address of a server freed all of its runs, and the clock in that reply, which is of another server, was taken as its own, so that later leases could be longer than the owner assumed.

The address of the order is now compared with the present one, and the clock of a reply 421 is not used.

Evidence: DispatcherRecovery.ARefusalFromAnEarlierAddressDoesNotEndTheRuns was red (two starts instead of one).

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -331,19 +331,22 @@
 
 // Updates the backend server from the reply to an order. Returns null if the order has no further
 // effect.
-BackendEntry* Dispatcher::Impl::ProcessReply(const BackendId& id, const OrderReply& reply) {
+BackendEntry* Dispatcher::Impl::ProcessReply(const BackendId& id, const std::string& address,
+                                             const OrderReply& reply) {
   BackendEntry* backend = FindBackend(id);
   if (backend == nullptr) return nullptr;
   if (reply.outcome == OrderOutcome::kFenced) fenced = true;
-  if (reply.clock) RecordReply(*backend, reply.clock);
-  if (reply.outcome != OrderOutcome::kWrongIncarnation) return backend;
+  const bool another = reply.outcome == OrderOutcome::kWrongIncarnation;
+  if (reply.clock && !another) RecordReply(*backend, reply.clock);
+  // Only its present address tells whether it has ended.
+  if (!another || address != backend->report.address) return backend;
   HandleReplaced(*backend);
   return nullptr;
 }
 
 void Dispatcher::OnStart(const StartOrder& order, const OrderReply& reply, MonotonicTime now) {
   impl_->now_ = now;
-  BackendEntry* backend = impl_->ProcessReply(order.backend, reply);
+  BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
   if (backend == nullptr) return;
   const TaskRef ref = impl_->Find(order.task);
   if (!ref || ref.task->backend != backend || ref.task->run != order.run) return;
@@ -393,7 +396,7 @@
 
 void Dispatcher::OnStop(const StopOrder& order, const OrderReply& reply, MonotonicTime now) {
   impl_->now_ = now;
-  BackendEntry* backend = impl_->ProcessReply(order.backend, reply);
+  BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
   if (backend == nullptr) return;
   if (reply.outcome != OrderOutcome::kDone) impl_->RecordMissingReply(*backend);
   if (const auto orphan = backend->orphans.find({order.task, order.run});
@@ -432,7 +435,8 @@
     const bool may_run = backend->HasRuns() || impl_->roster_pending.count(order.backend) > 0;
     backend->next_poll = now + (may_run ? kPollRetry : kUnresponsivePollInterval);
   }
-  if (reply.outcome == OrderOutcome::kWrongIncarnation) {
+  if (reply.outcome == OrderOutcome::kWrongIncarnation &&
+      order.address == backend->report.address) {
     impl_->HandleReplaced(*backend);
     return;
   }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -234,7 +234,8 @@
   [[nodiscard]] Millis PollPause() const;
   // Updates the mean interval between ticks.
   void ObserveTick();
-  BackendEntry* ProcessReply(const BackendId& id, const OrderReply& reply);
+  BackendEntry* ProcessReply(const BackendId& id, const std::string& address,
+                             const OrderReply& reply);
   void RecordReply(BackendEntry& backend, const std::optional<BackendClock>& clock);
   void RecordMissingReply(BackendEntry& backend);
 
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -78,9 +78,11 @@
     dispatcher->SetConfig(config);
   }
 
-  void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"}) {
+  void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"},
+                  const char* address = "") {
     BackendReport report;
     report.id = BackendId(id);
+    report.address = address;
     report.pool = PoolId("p");
     report.capacity = kServer;
     report.labels = std::move(labels);
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -639,3 +639,24 @@
   LONGS_EQUAL(2, starts.size());
   CHECK(starts[1].backend == BackendId("b2"));
 }
+
+// Guards against a second run of a task on a server that has another address by now: the reply that
+// tells that it is not at its earlier address says nothing about its runs.
+TEST(DispatcherRecovery, ARefusalFromAnEarlierAddressDoesNotEndTheRuns) {
+  AddBackend("b1", {"a", "r1"}, "10.0.0.1:1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  PollOrder poll;
+  for (const PollOrder& it : AdvanceWithoutReplies(1300)) poll = it;
+  STRCMP_EQUAL("10.0.0.1:1", poll.address.c_str());
+  AddBackend("b1", {"a", "r1"}, "10.0.0.2:1");
+  AddBackend("b2");
+  PollReply other;
+  other.outcome = OrderOutcome::kWrongIncarnation;
+  dispatcher->OnPoll(poll, other, Now(), Now());
+  dispatcher->OnStop({starts[0].backend, "10.0.0.1:1", Epoch(1), starts[0].task, starts[0].run},
+                     {OrderOutcome::kWrongIncarnation, std::nullopt}, Now());
+  Advance(2000);
+  LONGS_EQUAL(1, starts.size());
+}
