Take no task for lost or not started by a list of ends that is cut

What callers could see: a task that is started again after it was done. A backend server lists at most 500 ends at once. A task whose end did not fit was listed neither as running nor as ended, so the owner started it again; a new owner took such a list for all that an earlier one had left there.

A list of 500 ends now says nothing about tasks that it does not name. The next list follows at once.

Evidence: DispatcherRecovery.ATaskThatACutListDoesNotNameIsNotLost (two starts instead of one) and ANewOwnerWaitsForTheRestOfACutList (one instead of none) were red. The fixture lists 500 ends at most, as servers do.

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -458,7 +458,10 @@
     backend->has_replied = true;
     impl_->place_due = true;
   }
-  impl_->roster_pending.erase(backend->report.id);
+  // Ends that did not fit into the reply come next; until then a task that is not listed may have
+  // ended.
+  const bool cut = reply.ended.size() >= kMaxEndsPerPoll;
+  if (!cut) impl_->roster_pending.erase(backend->report.id);
   const std::int64_t seen = backend->ends_seen;
   for (const ListedEnd& end : reply.ended) {
     if (end.number <= seen) continue;
@@ -473,11 +476,10 @@
     listed.insert(row.task);
     impl_->HandleRunning(*backend, row);
   }
-  impl_->ReconcileUnlisted(*backend, listed, sent);
+  if (!cut) impl_->ReconcileUnlisted(*backend, listed, sent);
   impl_->PaceBestEffortTasks(*backend);
   Impl::AcknowledgeEnds(*backend, impl_->WrittenUpTo());
-  const bool more = reply.ended.size() >= kMaxEndsPerPoll;
-  if (newest) backend->next_poll = more ? now : now + impl_->PollPause();
+  if (newest) backend->next_poll = cut ? now : now + impl_->PollPause();
 }
 
 }  // namespace sapphirewheel
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -160,11 +161,21 @@
       reply.running = running[order.backend];
       auto& ends = ended[order.backend];
       std::erase_if(ends, [&](const auto& it) { return it.number <= order.acknowledged_end; });
-      reply.ended = ends;
+      constexpr std::size_t kMaxListed = 500;
+      reply.ended.assign(ends.begin(), ends.begin() + std::min(ends.size(), kMaxListed));
     }
     dispatcher->OnPoll(order, reply, Now() + Millis(1), Now() + Millis(1));
   }
 
+  // Ends of tasks of another job, as many as a server lists at once.
+  void EndManyRuns(const char* id) {
+    constexpr int kMaxListed = 500;
+    for (int n = 0; n < kMaxListed; ++n) {
+      ended[BackendId(id)].push_back(
+          {next_end++, {JobId("other"), 0, 0, n}, RunNumber(1), RunEnd::kDone, ""});
+    }
+  }
+
   void EndRun(const StartOrder& order, RunEnd how) {
     std::erase_if(running[order.backend], [&](const auto& it) { return it.task == order.task; });
     ended[order.backend].push_back({next_end++, order.task, order.run, how, ""});
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -660,3 +660,31 @@
   Advance(2000);
   LONGS_EQUAL(1, starts.size());
 }
+
+// Guards against a second run of a task whose end was not in the list of a server that has more
+// ends than it lists at once.
+TEST(DispatcherRecovery, ATaskThatACutListDoesNotNameIsNotLost) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  EndManyRuns("b1");
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(1000);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(dispatcher->Waiting().empty());
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+}
+
+// Guards against the same after a change of owner.
+TEST(DispatcherRecovery, ANewOwnerWaitsForTheRestOfACutList) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}}}, Now());
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  EndManyRuns("b1");
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  Advance(1000);
+  LONGS_EQUAL(0, starts.size());
+}
