Know the runs of occurrences that are not due yet by the own time of day

What callers could see: a task of a timed job that is started again after it was done, or while it runs. An owner whose time of day is ahead starts an occurrence; its successor, for which the occurrence is not due yet, dropped and acknowledged the ends of its tasks and stopped those that ran, and started them again when it was due.

The successor now opens an occurrence when a backend server lists a run of it.

Evidence: DispatcherRecovery.ANewOwnerKnowsRunsOfOccurrencesThatAreNotDueYet was red (two starts instead of none).

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -143,7 +143,7 @@
 
 void Dispatcher::Impl::HandleEnd(BackendEntry& backend, const ListedEnd& end) {
   if (backend.orphans.erase({end.task, end.run}) > 0) place_due = true;
-  const TaskRef ref = Find(end.task);
+  const TaskRef ref = FindStarted(end.task);
   if (!ref) return;
   TaskState& task = *ref.task;
   const bool current = task.backend == &backend && task.run == end.run;
@@ -219,7 +219,7 @@
 }
 
 void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
-  const TaskRef ref = Find(row.task);
+  const TaskRef ref = FindStarted(row.task);
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -61,6 +61,20 @@
                  &job->second->stored.spec.steps[key.step], &step.tasks[key.index]};
 }
 
+TaskRef Dispatcher::Impl::FindStarted(const TaskKey& key) {
+  const auto found = jobs.find(key.job);
+  if (found == jobs.end()) return {};
+  JobEntry& job = *found->second;
+  const bool later =
+      key.occurrence >= job.next_occurrence && key.occurrence < job.stored.spec.repetitions;
+  if (later && job.IsOpen() && job.open.count(key.occurrence) == 0 &&
+      !job.progress.IsFinished(key.occurrence)) {
+    OpenOccurrence(job, key.occurrence);
+    place_due = true;
+  }
+  return Find(key);
+}
+
 void Dispatcher::Impl::AddJob(StoredJob stored, const std::optional<JobProgress>& progress,
                               bool inherited) {
   if (const auto known = jobs.find(stored.id); known != jobs.end()) {
@@ -155,7 +169,8 @@
       const std::int64_t due =
           spec.first_due.count() + job->next_occurrence * spec.interval.count();
       if (now.count() + settings.max_early_start.count() < due) break;
-      if (!job->progress.IsFinished(job->next_occurrence)) {
+      const bool open = job->open.count(job->next_occurrence) > 0;
+      if (!open && !job->progress.IsFinished(job->next_occurrence)) {
         OpenOccurrence(*job, job->next_occurrence);
         place_due = true;
       }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -211,6 +211,9 @@
   void CloseOpenTasks(JobEntry& job);
   void MarkDirty(JobEntry& job);
   TaskRef Find(const TaskKey& key);
+  // Of a task that a backend server lists. Opens its occurrence if that is not due here yet: an
+  // earlier owner, whose time of day was ahead, has started it.
+  TaskRef FindStarted(const TaskKey& key);
   [[nodiscard]] std::uint64_t WrittenUpTo() const;
   // Allows the ends on a backend server to be acknowledged whose changes are among the first
   // `written` ones.
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -688,3 +688,21 @@
   Advance(1000);
   LONGS_EQUAL(0, starts.size());
 }
+
+// Guards against a second run of a task of an occurrence that is not due yet by the time of day of
+// a new owner, but was by that of the earlier one.
+TEST(DispatcherRecovery, ANewOwnerKnowsRunsOfOccurrencesThatAreNotDueYet) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("b2"), {PoolId("p"), std::nullopt}}},
+                        Now());
+  AddBackend("b1");
+  AddBackend("b2");
+  AddTimedJob("j1", 2000, 1000, JobProgress{});
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  running[BackendId("b2")].push_back({{JobId("j1"), 1, 0, 0}, RunNumber(1), "", 10, 0});
+  Advance(4000);
+  LONGS_EQUAL(0, starts.size());
+  LONGS_EQUAL(0, stops.size());
+}
