--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -138,7 +138,7 @@
 
 void Dispatcher::Impl::HandleEnd(BackendEntry& backend, const ListedEnd& end) {
   if (backend.orphans.erase({end.task, end.run}) > 0) place_due = true;
-  const TaskRef ref = Find(end.task);
+  const TaskRef ref = FindStarted(end.task);
   if (!ref) return;
   TaskState& task = *ref.task;
   const bool current = task.backend == &backend && task.run == end.run;
@@ -214,7 +214,7 @@
 }
 
 void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
-  const TaskRef ref = Find(row.task);
+  const TaskRef ref = FindStarted(row.task);
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
@@ -374,19 +374,22 @@
 
 // Updates the backend server from the reply to an order. Returns null if the order has no further
 // effect.
-BackendEntry* Dispatcher::Impl::ProcessReply(const BackendId& id, const OrderReply& reply) {
+BackendEntry* Dispatcher::Impl::ProcessReply(const BackendId& id, const std::string& address,
+                                             const OrderReply& reply) {
   BackendEntry* backend = FindBackend(id);
   if (backend == nullptr) return nullptr;
   if (reply.outcome == OrderOutcome::kFenced) fenced = true;
-  if (reply.clock) RecordReply(*backend);
-  if (reply.outcome != OrderOutcome::kWrongIncarnation) return backend;
+  const bool another = reply.outcome == OrderOutcome::kWrongIncarnation;
+  if (reply.clock && !another) RecordReply(*backend);
+  // Only its present address tells whether it has ended.
+  if (!another || address != backend->report.address) return backend;
   HandleReplaced(*backend);
   return nullptr;
 }
 
 void Dispatcher::OnStart(const StartOrder& order, const OrderReply& reply, MonotonicTime now) {
   impl_->now_ = now;
-  BackendEntry* backend = impl_->ProcessReply(order.backend, reply);
+  BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
   if (backend == nullptr) return;
   if (reply.outcome == OrderOutcome::kUnknown) {
     impl_->RecordUnansweredLease(*backend, order.lease_until);
@@ -439,7 +442,7 @@
 
 void Dispatcher::OnStop(const StopOrder& order, const OrderReply& reply, MonotonicTime now) {
   impl_->now_ = now;
-  BackendEntry* backend = impl_->ProcessReply(order.backend, reply);
+  BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
   if (backend == nullptr) return;
   if (reply.outcome != OrderOutcome::kDone) impl_->RecordMissingReply(*backend);
   if (const auto orphan = backend->orphans.find({order.task, order.run});
@@ -481,7 +484,8 @@
     const bool may_run = backend->HasRuns() || impl_->roster_pending.count(order.backend) > 0;
     backend->next_poll = now + (may_run ? kPollRetry : kUnresponsivePollInterval);
   }
-  if (reply.outcome == OrderOutcome::kWrongIncarnation) {
+  if (reply.outcome == OrderOutcome::kWrongIncarnation &&
+      order.address == backend->report.address) {
     impl_->HandleReplaced(*backend);
     return;
   }
@@ -504,7 +508,10 @@
     backend->has_replied = true;
     impl_->place_due = true;
   }
-  impl_->roster_pending.erase(backend->report.id);
+  // Ends that did not fit into the reply come next; until then a task that is not listed may have
+  // ended.
+  const bool cut = reply.ended.size() >= kMaxEndsPerPoll;
+  if (!cut) impl_->roster_pending.erase(backend->report.id);
   const std::int64_t seen = backend->ends_seen;
   for (const ListedEnd& end : reply.ended) {
     if (end.number <= seen) continue;
@@ -519,11 +526,10 @@
     listed.insert(row.task);
     impl_->HandleRunning(*backend, row);
   }
-  impl_->ReconcileUnlisted(*backend, listed, sent);
+  if (!cut) impl_->ReconcileUnlisted(*backend, listed, sent);
   impl_->PaceBestEffortTasks(*backend);
   Impl::AcknowledgeEnds(*backend, impl_->WrittenUpTo());
-  const bool more = reply.ended.size() >= kMaxEndsPerPoll;
-  if (newest) backend->next_poll = more ? now : now + impl_->PollPause();
+  if (newest) backend->next_poll = cut ? now : now + impl_->PollPause();
 }
 
 }  // namespace sapphirewheel
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -78,9 +79,11 @@
     dispatcher->SetConfig(config);
   }
 
-  void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"}) {
+  void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"},
+                  const char* address = "") {
     BackendReport report;
     report.id = BackendId(id);
+    report.address = address;
     report.pool = PoolId("p");
     report.capacity = kServer;
     report.labels = std::move(labels);
@@ -158,11 +161,21 @@
       reply.running = running[order.backend];
       auto& ends = ended[order.backend];
       std::erase_if(ends, [&](const auto& it) { return it.number <= order.acknowledged_end; });
-      reply.ended = ends;
+      constexpr std::size_t kMaxListed = 500;
+      reply.ended.assign(ends.begin(), ends.begin() + std::min(ends.size(), kMaxListed));
     }
     dispatcher->OnPoll(order, reply, Now() + Millis(1), Now() + Millis(1));
   }
 
+  // Ends of tasks of another job, as many as a server lists at once.
+  void EndManyRuns(const char* id) {
+    constexpr int kMaxListed = 500;
+    for (int n = 0; n < kMaxListed; ++n) {
+      ended[BackendId(id)].push_back(
+          {next_end++, {JobId("other"), 0, 0, n}, RunNumber(1), RunEnd::kDone, ""});
+    }
+  }
+
   void EndRun(const StartOrder& order, RunEnd how) {
     std::erase_if(running[order.backend], [&](const auto& it) { return it.task == order.task; });
     ended[order.backend].push_back({next_end++, order.task, order.run, how, ""});
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -655,3 +655,70 @@
   LONGS_EQUAL(2, starts.size());
   CHECK(starts[1].backend == BackendId("b2"));
 }
+
+// Guards against a second run of a task on a server that has another address by now: the reply that
+// tells that it is not at its earlier address says nothing about its runs.
+TEST(DispatcherRecovery, ARefusalFromAnEarlierAddressDoesNotEndTheRuns) {
+  AddBackend("b1", {"a", "r1"}, "10.0.0.1:1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  PollOrder poll;
+  for (const PollOrder& it : AdvanceWithoutReplies(1300)) poll = it;
+  STRCMP_EQUAL("10.0.0.1:1", poll.address.c_str());
+  AddBackend("b1", {"a", "r1"}, "10.0.0.2:1");
+  AddBackend("b2");
+  PollReply other;
+  other.outcome = OrderOutcome::kWrongIncarnation;
+  dispatcher->OnPoll(poll, other, Now(), Now());
+  dispatcher->OnStop({starts[0].backend, "10.0.0.1:1", Epoch(1), starts[0].task, starts[0].run},
+                     {OrderOutcome::kWrongIncarnation, std::nullopt}, Now());
+  Advance(2000);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// Guards against a second run of a task whose end was not in the list of a server that has more
+// ends than it lists at once.
+TEST(DispatcherRecovery, ATaskThatACutListDoesNotNameIsNotLost) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  EndManyRuns("b1");
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(1000);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(dispatcher->Waiting().empty());
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
+}
+
+// Guards against the same after a change of owner.
+TEST(DispatcherRecovery, ANewOwnerWaitsForTheRestOfACutList) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}}}, Now());
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  EndManyRuns("b1");
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  Advance(1000);
+  LONGS_EQUAL(0, starts.size());
+}
+
+// Guards against a second run of a task of an occurrence that is not due yet by the time of day of
+// a new owner, but was by that of the earlier one.
+TEST(DispatcherRecovery, ANewOwnerKnowsRunsOfOccurrencesThatAreNotDueYet) {
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("b2"), {PoolId("p"), std::nullopt}}},
+                        Now());
+  AddBackend("b1");
+  AddBackend("b2");
+  AddTimedJob("j1", 2000, 1000, JobProgress{});
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  running[BackendId("b2")].push_back({{JobId("j1"), 1, 0, 0}, RunNumber(1), "", 10, 0});
+  Advance(4000);
+  LONGS_EQUAL(0, starts.size());
+  LONGS_EQUAL(0, stops.size());
+}
