Order no maintenance of VMs whose unregistered server may still run tasks

Class of fault: what is not listed taken for what is not there. Backends() now also lists servers that are not registered but may run something, as not usable and before the registered ones, so that a new server of the same VM wins; IsIdle is false for servers of the roster that have not replied. The wave waits for the end of their lease at most; the autoscaler moves only usable servers and is not changed.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -272,6 +272,8 @@
     bool evacuating = false;
     bool avoided = false;
   };
+  // The registered backend servers. Before them, as not usable, those that are not registered but
+  // may still run something, because a server that lost the path to the registry leaves it.
   [[nodiscard]] std::vector<BackendView> Backends() const;
 
   // Jobs that ended at least `age` ago and whose end has been written.
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -248,7 +248,8 @@
 
 bool Dispatcher::IsIdle(const BackendId& id) const {
   const BackendEntry* backend = impl_->FindBackend(id);
-  return backend == nullptr || (backend->has_replied && backend->IsSettled());
+  if (backend == nullptr) return impl_->roster_pending.count(id) == 0;
+  return backend->has_replied && backend->IsSettled();
 }
 
 void Dispatcher::BackendEnded(const BackendId& id, MonotonicTime now) {
@@ -263,13 +264,26 @@
 
 std::vector<Dispatcher::BackendView> Dispatcher::Backends() const {
   std::vector<BackendView> views;
+  for (const auto& [id, entry] : impl_->roster_pending) {
+    if (impl_->FindBackend(id) != nullptr) continue;
+    BackendView& view = views.emplace_back();
+    view.id = id;
+    view.vm = entry.vm;
+    view.pool = entry.pool;
+  }
+  const auto add = [&](const BackendEntry& backend, bool usable) {
+    views.push_back({backend.report.id, backend.report.vm, backend.report.pool,
+                     static_cast<int>(backend.tasks.size()), backend.long_running_tasks,
+                     backend.IsSettled(), backend.used, backend.report.capacity, usable,
+                     backend.evacuating, backend.avoided});
+  };
+  for (const auto& [id, backend] : impl_->backends) {
+    const bool may_run = !backend->IsSettled() || impl_->roster_pending.count(id) > 0;
+    if (!backend->registered && may_run) add(*backend, false);
+  }
   for (const auto& [id, backend] : impl_->backends) {
     if (!backend->registered) continue;
-    const bool usable = backend->has_replied && !backend->failing && !backend->report.draining;
-    views.push_back({id, backend->report.vm, backend->report.pool,
-                     static_cast<int>(backend->tasks.size()), backend->long_running_tasks,
-                     backend->IsSettled(), backend->used, backend->report.capacity, usable,
-                     backend->evacuating, backend->avoided});
+    add(*backend, backend->has_replied && !backend->failing && !backend->report.draining);
   }
   return views;
 }
