Believe a server that contradicts the start time in its entry

Callers could see work wait for a server that was up: an entry under its id that named a start time in the future, left by another writer for a moment, made the owner ignore all later replies of the server as those of an earlier incarnation, until the entry was removed or the owner changed. The server's own next entry did not help, because the latest start time was kept. Its lease was no longer extended either, so what ran there would have ended.

A poll that was sent after the entry was seen reaches that incarnation or a later one, so an earlier start time in the reply shows that the entry was wrong. Replies to earlier polls are still ignored.

--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -303,6 +303,7 @@
   Report(DecisionKind::kBackendGone, JobId(), "", backend.report.id, RunNumber(),
          "restarted, start time " + std::to_string(started_at.count()));
   backend.report.started_at = started_at;
+  backend.start_changed_at = now_;
   backend.has_replied = false;
   backend.clock.reset();
   backend.ends_seen = backend.ends_acknowledged = backend.ends_ack_sent = 0;
@@ -443,9 +444,11 @@
     return;
   }
   backend->last_poll_replied = order.sequence;
-  // A reply of an earlier incarnation does not describe the present one.
-  if (reply.started_at < backend->report.started_at) return;
-  if (reply.started_at > backend->report.started_at) {
+  if (reply.started_at != backend->report.started_at) {
+    // A reply of an earlier incarnation does not describe the present one. One to a poll sent after
+    // the later start time was seen shows that this time was wrong.
+    const bool earlier = reply.started_at < backend->report.started_at;
+    if (earlier && sent <= backend->start_changed_at) return;
     impl_->HandleRestart(*backend, reply.started_at);
   }
   impl_->RecordReply(*backend, reply.clock);
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -159,6 +159,8 @@
   MonotonicTime last_list;
   // All runs there have ended by then, unless a further order extends the lease.
   MonotonicTime lease_end;
+  // When its start time last changed; polls sent later reach that incarnation or a later one.
+  MonotonicTime start_changed_at;
   std::optional<BackendClock> clock;
   MonotonicTime clock_read_at;
   std::int64_t ends_seen = 0;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -460,6 +460,50 @@
   LONGS_EQUAL(1, starts.size());
 }
 
+// Guards against a server that is lost for good because an entry under its id, left by another
+// writer, named a start time in the future: its replies were ignored as those of an earlier life.
+TEST(DispatcherRecovery, BelievesAServerThatRepliesWithAnEarlierStartThanItsEntryNamed) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  started_at = 4'000'000'000'000'000;
+  AddBackend("b1");
+  started_at = 1;
+  Advance(60);
+  AddBackend("b1");
+  Advance(2000);
+  CHECK_TRUE(dispatcher->Backends()[0].usable);
+  // The run there was not given up.
+  LONGS_EQUAL(1, starts.size());
+  EndRun(starts[0], RunEnd::kDone);
+  AddJob("j2", {Step(1, 1000)});
+  Advance(1000);
+  LONGS_EQUAL(2, starts.size());
+  LONGS_EQUAL(1, dispatcher->Backends()[0].tasks);
+}
+
+// Guards against a start time in an entry that a poll sent before it contradicts: the reply is that
+// of an earlier life, and a start would have a lease by its clock.
+TEST(DispatcherRecovery, DoesNotBelieveAReplyToAPollSentBeforeTheEntry) {
+  AddBackend("b1");
+  dispatcher->RosterWritten(*dispatcher->RosterToWrite());
+  dispatcher->Tick(Now(), true);
+  const PollOrder first = polls.front();
+  polls.clear();
+  const MonotonicTime sent = Now();
+  now_ms += 20;
+  started_at = 2;
+  AddBackend("b1");
+  now_ms += 20;
+  PollReply late;
+  late.outcome = OrderOutcome::kDone;
+  late.clock = BackendClock(900'000);
+  late.started_at = UnixMillis(1);
+  dispatcher->OnPoll(first, late, sent, Now());
+  CHECK_FALSE(dispatcher->Backends()[0].usable);
+}
+
 // A lost reply must not let the lease expire: the poll is repeated long before its timeout.
 TEST(DispatcherRecovery, RepeatsAPollWhoseReplyIsOverdue) {
   AddBackend("b1");
