Use no server of an entry with fields of another type or out of range

An entry of the registry may come from another writer. Those with labels, a start time, a zone or a VM of another type, with a capacity that is negative or beyond any server's, with port 0 or an address that stands for no single server, and those under an empty id or one that cannot be sent in a header were used. The server then does not reply and gets no work, but a capacity or a start time from such an entry under the id of a living server goes into the placement and the sizes of pools.

--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -52,6 +52,11 @@
   bool operator==(const Resources&) const = default;
 };
 
+// Far more than any backend server has; sums of many fit in 64 bits.
+inline constexpr Resources kMaxResources{10'000'000, 1'000'000'000, 1'000'000};
+// Beyond the year 5000.
+inline constexpr UnixMillis kMaxUnixMillis{100'000'000'000'000};
+
 // One step of a job: identical tasks that start once the steps in `after` are done.
 struct StepSpec {
   int count = 1;
--- a/coordination/src/stored_job.cc
+++ b/coordination/src/stored_job.cc
@@ -15,15 +15,10 @@
 // Maximum number of tasks of one occurrence, so that one job cannot exhaust a node's memory.
 constexpr int kMaxTasks = 20'000;
 
-// Largest amounts of a submitted job, far above what servers have and tasks take.
-constexpr std::int64_t kMaxCpuMillis = 10'000'000;
-constexpr std::int64_t kMaxMemoryMib = 1'000'000'000;
-constexpr std::int64_t kMaxAccelerators = 1'000'000;
+// Largest amounts of a submitted job, far above what tasks take.
 constexpr Millis kMaxEstimate = std::chrono::hours(24 * 7);
 constexpr int kMaxRepetitions = 1'000'000;
 constexpr Millis kMaxInterval = std::chrono::hours(24 * 366);
-// Beyond the year 5000, as milliseconds since 1970.
-constexpr UnixMillis kMaxDue{100'000'000'000'000};
 // In milli-cores times milliseconds; sums of the work of many jobs fit in 64 bits.
 constexpr double kMaxWork = 1e15;
 
@@ -166,8 +161,7 @@
     const StepSpec& step = spec.steps[n];
     const std::string name = "step " + std::to_string(n);
     const Resources& task = step.per_task;
-    if (task.cpu_millis > kMaxCpuMillis || task.memory_mib > kMaxMemoryMib ||
-        task.accelerators > kMaxAccelerators) {
+    if (!task.FitsIn(kMaxResources)) {
       return Invalid(name + " requests more than any backend server has",
                      "give the amounts of one task, processors in thousandths of a core");
     }
@@ -187,7 +181,8 @@
                    "check the unit of the estimates, milliseconds, or split the job");
   }
   if (spec.repetitions < 0 || spec.repetitions > kMaxRepetitions || spec.interval < Millis(0) ||
-      spec.interval > kMaxInterval || spec.first_due < UnixMillis(0) || spec.first_due > kMaxDue) {
+      spec.interval > kMaxInterval || spec.first_due < UnixMillis(0) ||
+      spec.first_due > kMaxUnixMillis) {
     return Invalid("the job's repetitions, interval or first time are out of range",
                    "give 0 to " + std::to_string(kMaxRepetitions) +
                        " repetitions, an interval of at most a year, and times in milliseconds");
--- a/transport/include/sapphirewheel/transport/endpoint.h
+++ b/transport/include/sapphirewheel/transport/endpoint.h
@@ -19,5 +19,8 @@
 
 // Parses "ip:port"; host names are not resolved. Errors: kInvalidArgument.
 [[nodiscard]] Result<Endpoint> ParseEndpoint(std::string_view text);
+// Whether a connection to the endpoint can reach one particular peer, which port 0 and wildcard,
+// multicast and broadcast addresses cannot.
+[[nodiscard]] bool IsConnectable(const Endpoint& endpoint);
 
 }  // namespace sapphirewheel
--- a/transport/src/endpoint.cc
+++ b/transport/src/endpoint.cc
@@ -30,4 +30,11 @@
   return Endpoint{address, port};
 }
 
+bool IsConnectable(const Endpoint& endpoint) {
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+  if (ec || endpoint.port == 0 || address.is_unspecified() || address.is_multicast()) return false;
+  return !address.is_v4() || address.to_v4() != boost::asio::ip::address_v4::broadcast();
+}
+
 }  // namespace sapphirewheel
