--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -172,6 +172,8 @@
   MonotonicTime unusable_until;
   // Start time of the incarnation that sent the last list.
   std::optional<UnixMillis> listed_incarnation;
+  // When its start time last changed; polls sent later reach that incarnation or a later one.
+  MonotonicTime start_changed_at;
   // Clock of that incarnation; replies to other orders do not name theirs.
   std::optional<BackendClock> clock;
   MonotonicTime clock_read_at;
