--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -145,10 +145,10 @@
 
 void MaintenanceRunner::TickWave(Wave& wave, const Servers& servers, MonotonicTime now) {
   if (!list_known_) return;
-  static const std::vector<const Dispatcher::BackendView*> kNone;
+  const std::vector<const Dispatcher::BackendView*> none;
   const auto servers_of = [&](const VmId& vm) -> const auto& {
     const auto it = servers.find(vm);
-    return it == servers.end() ? kNone : it->second;
+    return it == servers.end() ? none : it->second;
   };
   int down = 0;
   int freeing = 0;
@@ -164,9 +164,10 @@
     if (entry.phase == VmPhase::kDown) {
       const bool observed = std::exchange(entry.down_observed, true);
       if (!observed || now < entry.earliest_return) ObserveServers(entry, present, now);
-      const bool back = std::any_of(present.begin(), present.end(), [&](const auto* it) {
-        return it->usable && entry.known_backends.count(it->id) == 0;
-      });
+      const bool back = std::any_of(present.begin(), present.end(),
+                                    [&known = entry.known_backends](const auto* it) {
+                                      return it->usable && known.count(it->id) == 0;
+                                    });
       if (back) SetPhase(wave, vm, entry, VmPhase::kFinished, now);
     }
     if (entry.phase != VmPhase::kFinished) finished = false;
