--- a/coordination/tests/dispatcher_availability_test.cc
+++ b/coordination/tests/dispatcher_availability_test.cc
@@ -48,7 +48,7 @@
     hooks.ended = [this](const BackendId& id) { dispatcher->BackendEnded(id, Now()); };
     maintenance = std::make_unique<MaintenanceRunner>(hooks, Millis(2000));
     maintenance->AddWave(WaveOrder{1, {v1}, Millis(20'000), 1}, {});
-    maintenance->SetVms({VmReport{v1, PoolId("p"), VmState::kUp, b1}}, Now());
+    maintenance->SetVms({VmReport{v1, PoolId("p"), VmState::kUp, b1}}, Now(), Now());
     maintenance->Tick(dispatcher->Backends(), Now());
   }
 
