--- a/coordination/include/sapphirewheel/coordination/coordination.h
+++ b/coordination/include/sapphirewheel/coordination/coordination.h
@@ -35,6 +35,7 @@
 #include "sapphirewheel/coordination/stored_job.h"
 #include "sapphirewheel/coordination/token_escrow.h"
 #include "sapphirewheel/coordination/usage_estimator.h"
+#include "sapphirewheel/coordination/vm_fences.h"
 #include "sapphirewheel/coordination/vm_mover.h"
 #include "sapphirewheel/coordination/wave_controller.h"
 #include "sapphirewheel/coordination/wave_record.h"
