Allow a lease to expire when two claims of the ownership in a row had no reply

Trace: the owner is killed at 12.514 s; node0 claims at 15.084 s and gets no reply, its next claim is carried out late at 17.727 s, 5.2 s after the kill. A claim without a reply costs its timeout, so two in a row outlast a lease of 6 s that was extended up to 0.9 s before the kill.

--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -79,6 +79,7 @@
   constexpr std::int64_t kTakeover = 6000;
   if (sim.now() - sim.owner_killed < kTakeover) sim.lease_expiry_forbidden = false;
   sim.owner_killed = sim.now();
+  sim.unanswered_claims = 0;
   sim.Trace(owner, "killed");
   sim.KillNode(owner);
   sim.At(sim.now() + 800 + sim.Draw(4000), [&sim, owner] { sim.StartNode(owner); });
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -148,6 +148,8 @@
   // Whether it is a violation if the lease of a reachable backend server expires.
   bool lease_expiry_forbidden = true;
   std::int64_t owner_killed = -1'000'000;
+  // Claims of the ownership without a reply since then.
+  int unanswered_claims = 0;
   // When an owner last loaded the stored state.
   std::int64_t loaded_at = -1;
   // Time by which replies of the table service are later than what they tell.
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -104,7 +104,10 @@
       return;
     }
     const std::int64_t latency = 2 + sim_.Draw(6);
+    const bool claim =
+        !tx.writes.empty() && tx.writes.front().first == rows::Owner() && sim_.OwnerNode() < 0;
     if (sim_.Draw() < sim_.settings_.faults.late_store_writes) {
+      sim_.unanswered_claims += claim ? 1 : 0;
       sim_.At(sim_.now_ + 1000 + sim_.Draw(3000), [this, tx] {
         if (!sim_.store_down_) sim_.Apply(tx);
       });
@@ -112,6 +115,7 @@
       return;
     }
     const bool lost = sim_.Draw() < sim_.settings_.faults.lost_store_replies;
+    sim_.unanswered_claims += claim && lost ? 1 : 0;
     sim_.At(sim_.now_ + latency, [this, tx, timeout, done, lost, latency] {
       const RowsReply reply = sim_.Apply(tx);
       if (lost) {
