Go on using a server that was said to have ended while tasks run there

Found by the review: the server was also taken off the registered ones, so that its leases were no longer extended and its runs would lapse (AVAIL) until its entry in the registry changes. DispatcherRestart.KeepsTheRunsOfAServerThatIsSaidToHaveEnded now also asks that the next poll extends the lease; that part was not run on the code before. A silent server is waited for like any other, so the end of the test comes after 9 s instead of 7 s: orders go on for 2 s, then the lease of 6.6 s.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -256,13 +256,13 @@
   impl_->now_ = now;
   BackendEntry* backend = impl_->FindBackend(id);
   if (backend == nullptr) return;
-  backend->registered = false;
   if (backend->HasRuns()) {
     // A VM that is ordered away is idle, so this server is another one, or still there.
     impl_->Report(DecisionKind::kBackendGone, JobId(), "", id, RunNumber(),
-                  "said to have ended, but tasks run there; waiting for its lease");
+                  "said to have ended, but tasks run there; kept until its lease ends");
     return;
   }
+  backend->registered = false;
   backend->unacknowledged.clear();
   backend->ends_acknowledged = backend->ends_ack_sent;
 }
