--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -82,7 +82,6 @@
   LONGS_EQUAL(1, ordered.size());
 }
 
-// An order without a reply may have been carried out.
 // Guards against two runs of a task: a server that is cut off from the registry still runs its
 // tasks, which the maintenance of its VM would give up.
 TEST(MaintenanceRunner, WaitsForTheTasksOfAServerThatLeftTheRegistry) {
@@ -97,6 +96,7 @@
   LONGS_EQUAL(1, ordered.size());
 }
 
+// An order without a reply may have been carried out.
 TEST(MaintenanceRunner, CountsAnOrderWithoutAReplyAsDownAndRepeatsIt) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
