Review: addresses of each case's own, and a list of machines that takes 50 ms

Cause: in the first series from a fresh clone, run side by side, case 3 could not run once and case 5 held once in five. Cases that ran at the same time had addresses in common, which is supposed to be the cause of the first; in case 5 the next owner could order the upkeep of the machine again before it had placed the job there.

--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -705,6 +705,7 @@
     co_await Sleep(2);
     const std::string path = request.path();
     if (path == "/api/machines") {
+      co_await Sleep(50);
       json::array list;
       for (const auto& [name, it] : machines) {
         const bool up = it.executor != nullptr && it.executor->up() && it.state == "up";
@@ -938,9 +939,10 @@
     if (mkdtemp(pattern.data()) == nullptr) Abort("no temporary folder");
     folder = pattern;
     const int pid = getpid();
-    ip_prefix = "127." + std::to_string(60 + pid / 62500 % 100) + "." +
-                std::to_string(1 + pid / 250 % 250) + ".";
-    ip_base = 1 + pid % 200;
+    // Addresses of this process alone, so that cases that run side by side share no port.
+    ip_prefix = "127." + std::to_string(60 + pid / 250 % 100) + "." +
+                std::to_string(1 + pid % 250) + ".";
+    ip_base = 1;
     store = std::make_unique<Store>(io, Ip(0), kMaxDaemons);
     cloud = std::make_unique<Cloud>(io, Ip(0), *store, executors, Ip(0));
     signal(SIGPIPE, SIG_IGN);
