Best-effort and serving tasks share a server where no other has room

Cause: placement refused every server with a best-effort task to serving tasks, and the reverse. Both run until they are cancelled, so the refusal lasted. The same held for best-effort tasks with an end, for gangs, and for moves away from VMs that are due for maintenance.

Such a server is now the last choice: a task takes it after it has waited 1.5 s for another. A long-running best-effort task leaves it when another server has room. Pacing beside serving tasks is as before.

Ruled out: a lost order or lease; the step was a candidate in each round and found no server.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -169,7 +169,10 @@
   const bool check_stuck = now >= impl_->next_stuck_check;
   if (check_stuck) impl_->next_stuck_check = now + kStuckCheckInterval;
   for (auto& [id, backend] : impl_->backends) {
-    if (check_stuck) impl_->StopStuckTasks(*backend);
+    if (check_stuck) {
+      impl_->StopStuckTasks(*backend);
+      impl_->SeparateBestEffortTasks(*backend);
+    }
     if (backend->evacuating || backend->report.draining || backend->avoided) {
       impl_->Evacuate(*backend);
     }
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -46,6 +46,7 @@
 
 void Dispatcher::Impl::Charge(const TaskKey& key, const TaskRef& ref, BackendEntry& backend) {
   ref.task->backend = &backend;
+  ref.task->disturbed_since.reset();
   backend.tasks.insert(key);
   backend.used += ref.spec->Charge();
   backend.long_running_tasks += ref.spec->long_running ? 1 : 0;
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -207,8 +207,28 @@
     const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
     if (!allowed) continue;
     const BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
+    if (target == nullptr) continue;
     const bool urgent = backend.report.draining || backend.evacuating;
-    if (target != nullptr && (urgent || !target->avoided)) BeginStop(key, ref);
+    if (!urgent && target->avoided) continue;
+    if (IsDisturbed(*ref.spec, *target) && !(urgent && AcceptsDisturbance(*ref.step, *ref.task))) {
+      continue;
+    }
+    BeginStop(key, ref);
+  }
+}
+
+void Dispatcher::Impl::SeparateBestEffortTasks(BackendEntry& backend) {
+  if (backend.serving_tasks == 0 || backend.best_effort_tasks == 0) return;
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) {
+    const TaskRef ref = Find(key);
+    if (!ref.spec->best_effort || !ref.spec->long_running) continue;
+    if (ref.task->phase != TaskPhase::kRunning || !ref.job->IsOpen()) continue;
+    const QueuePolicy* queue = ref.job->queue;
+    if (queue == nullptr || ref.spec->gang || !BudgetAllowsStop(ref)) continue;
+    const BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
+    if (target == nullptr || target->avoided || IsDisturbed(*ref.spec, *target)) continue;
+    BeginStop(key, ref);
   }
 }
 
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -12,6 +12,8 @@
 constexpr std::int64_t kNotPenalized = 8000;
 constexpr std::int64_t kNotAvoided = 1000;
 constexpr std::int64_t kNotFailedThere = 16000;
+// A best-effort task slows serving tasks on the same backend server, for as long as both run.
+constexpr std::int64_t kUndisturbed = 32000;
 // Prefers the fullest backend server, so that others become idle.
 constexpr std::int64_t kFullness = 500;
 // Groups long-running tasks on the same backend servers, so that the others can be switched off.
@@ -27,6 +29,9 @@
 
 // Maximum number of backend servers in one advice call, which takes time for each.
 constexpr std::size_t kAdvicePerCall = 30;
+// Time for which a task waits for a backend server that has no serving tasks, or no best-effort
+// ones, before it shares one with them.
+constexpr Millis kUndisturbedWait{1500};
 // A ticket must remain valid for this long, to cover the delivery time of a start.
 constexpr Millis kTicketReserve{200};
 
@@ -54,7 +59,7 @@
 
 // The highest suitability that a backend server can have for a task of a step.
 std::int64_t BestSuitability(const StepSpec& spec) {
-  std::int64_t best = kNotPenalized + kNotAvoided + kNotFailedThere;
+  std::int64_t best = kNotPenalized + kNotAvoided + kNotFailedThere + kUndisturbed;
   if (!spec.near_rack.empty()) best += kNearData;
   if (spec.one_rack) best += kSameRack;
   if (spec.long_running) best += kBesideLongRunning;
@@ -133,9 +138,32 @@
   if (!backend.avoided) score += kNotAvoided;
   if (task.failed_at != backend.report.id) score += kNotFailedThere;
   if (spec.long_running && backend.long_running_tasks > 0) score += kBesideLongRunning;
+  if (!IsDisturbed(spec, backend)) score += kUndisturbed;
   return score;
 }
 
+bool Dispatcher::Impl::IsDisturbed(const StepSpec& spec, const BackendEntry& backend) {
+  if (spec.best_effort) return backend.serving_tasks > 0;
+  return spec.latency_target.count() > 0 && backend.best_effort_tasks > 0;
+}
+
+bool Dispatcher::Impl::AcceptsDisturbance(StepState& step, TaskState& task) const {
+  // All tasks of a step wait at the same time.
+  for (TaskState& it : step.tasks) {
+    const bool waits = &it == &task || it.phase == TaskPhase::kWaiting;
+    if (waits && !it.disturbed_since) it.disturbed_since = now_;
+  }
+  return now_ - *task.disturbed_since >= kUndisturbedWait;
+}
+
+BackendEntry* Dispatcher::Impl::PickToStart(const QueuePolicy& queue, const StepSpec& spec,
+                                            StepState& step, TaskState& task,
+                                            const std::map<BackendEntry*, Resources>& planned) {
+  BackendEntry* backend = Pick(queue, spec, step, task, planned);
+  if (backend == nullptr || !IsDisturbed(spec, *backend)) return backend;
+  return AcceptsDisturbance(step, task) ? backend : nullptr;
+}
+
 BackendEntry* Dispatcher::Impl::Pick(const QueuePolicy& queue, const StepSpec& spec,
                                      const StepState& step, const TaskState& task,
                                      const std::map<BackendEntry*, Resources>& planned) {
@@ -158,9 +186,6 @@
     if (it->reserved) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
-    // A best-effort task slows serving tasks on the same backend server.
-    if (spec.best_effort && it->serving_tasks > 0) continue;
-    if (spec.latency_target.count() > 0 && it->best_effort_tasks > 0) continue;
     Resources need = charge;
     if (const auto more = planned.find(it); more != planned.end()) need += more->second;
     if (!need.FitsIn(free)) continue;
@@ -316,7 +341,7 @@
     TaskState& task = step.tasks[index];
     if (!MayStart(task, runs_known)) continue;
     if (!IsWithinLimit(job.stored.team, spec.per_task)) return;
-    BackendEntry* backend = Pick(*queue, spec, step, task, {});
+    BackendEntry* backend = PickToStart(*queue, spec, step, task, {});
     if (backend == nullptr) {
       if (queue->advice) RequestAdvice(candidate, *queue);
       if (candidate.tier != kLongRunningTier) return;
@@ -382,7 +407,7 @@
   std::vector<BackendEntry*> places;
   std::map<BackendEntry*, int> members;
   for (TaskState& it : step.tasks) {
-    BackendEntry* backend = Pick(queue, spec, step, it, planned);
+    BackendEntry* backend = PickToStart(queue, spec, step, it, planned);
     if (backend == nullptr) {
       if (queue.advice) RequestAdvice(candidate, queue);
       return;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -75,6 +75,9 @@
   // Started or found running by this owner, so that no run of an earlier owner can exist unnoticed.
   bool located = false;
   int pace = 100;
+  // Since when only backend servers on which best-effort and serving tasks would disturb each other
+  // have room for it.
+  std::optional<MonotonicTime> disturbed_since;
   std::int64_t load = 0;
   // Where it last failed or made no progress.
   BackendId failed_at;
@@ -286,6 +289,8 @@
   void StopStuckTasks(BackendEntry& backend);
   void Evacuate(BackendEntry& backend);
   void PaceBestEffortTasks(BackendEntry& backend);
+  // Moves best-effort tasks that have no end away from serving tasks, to where they disturb none.
+  void SeparateBestEffortTasks(BackendEntry& backend);
   [[nodiscard]] bool IsAvailable(const TaskState& task) const;
   [[nodiscard]] bool BudgetAllowsStop(const TaskRef& ref) const;
   BackendEntry* FindBackend(const BackendId& id);
@@ -324,6 +329,16 @@
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
   BackendEntry* Pick(const QueuePolicy& queue, const StepSpec& spec, const StepState& step,
                      const TaskState& task, const std::map<BackendEntry*, Resources>& planned);
+  // Whether a task of the step and those on the backend server are of the kinds that disturb each
+  // other: best-effort tasks and serving ones.
+  [[nodiscard]] static bool IsDisturbed(const StepSpec& spec, const BackendEntry& backend);
+  // The backend server on which the task may start now. One on which best-effort and serving tasks
+  // would disturb each other counts only after the task has waited for another one.
+  BackendEntry* PickToStart(const QueuePolicy& queue, const StepSpec& spec, StepState& step,
+                            TaskState& task, const std::map<BackendEntry*, Resources>& planned);
+  // Called when only disturbed backend servers have room. Whether the task has waited for another
+  // one for long enough.
+  bool AcceptsDisturbance(StepState& step, TaskState& task) const;
   [[nodiscard]] bool IsUsable(const BackendEntry& backend) const;
   // How well a backend server suits a task, apart from how full it is; larger is better.
   [[nodiscard]] std::int64_t Suitability(const BackendEntry& backend, const StepSpec& spec,
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -251,6 +251,102 @@
   LONGS_EQUAL(2, starts.size());
 }
 
+// Guards against tasks that never run: every backend server had a task of the other kind, and both
+// kinds refused to share one.
+TEST(Dispatcher, BestEffortAndServingTasksShareAServerWhereNoOtherHasRoom) {
+  for (const char* it : {"b1", "b2", "b3"}) AddBackend(it);
+  StepSpec serving = Step(2, 1000);
+  serving.long_running = true;
+  serving.per_server_limit = 1;
+  serving.latency_target = Millis(100);
+  AddJob("j1", {serving});
+  Advance(300);
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.long_running = true;
+  best_effort.best_effort = true;
+  AddJob("j2", {best_effort});
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  const BackendId lost = starts[0].backend;
+  const BackendId shared = starts[2].backend;
+  CHECK(shared != lost && shared != starts[1].backend);
+  silent.insert(lost);
+  dispatcher->RemoveBackend(lost, Now());
+  Advance(10'000);
+  LONGS_EQUAL(4, starts.size());
+  CHECK(starts[3].task.job == JobId("j1"));
+  CHECK(starts[3].backend == shared);
+  // The best-effort task leaves once another server has room.
+  AddBackend("b4");
+  Advance(1000);
+  LONGS_EQUAL(1, stops.size());
+  CHECK(stops[0].task.job == JobId("j2"));
+  EndRun(starts[2], RunEnd::kStopped);
+  Advance(300);
+  LONGS_EQUAL(5, starts.size());
+  CHECK(starts[4].backend == BackendId("b4"));
+}
+
+// The same for a best-effort task that has an end.
+TEST(Dispatcher, ABestEffortTaskRunsWhereAllServersHaveServingTasks) {
+  AddBackend("b1");
+  StepSpec serving = Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = Millis(100);
+  AddJob("j1", {serving});
+  Advance(300);
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.best_effort = true;
+  AddJob("j2", {best_effort});
+  Advance(3000);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].task.job == JobId("j2"));
+}
+
+// The same for a gang of serving tasks.
+TEST(Dispatcher, AServingGangRunsWhereAllServersHaveBestEffortTasks) {
+  AddBackend("b1");
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.long_running = true;
+  best_effort.best_effort = true;
+  AddJob("j1", {best_effort});
+  Advance(300);
+  StepSpec serving = Step(2, 1000);
+  serving.long_running = true;
+  serving.gang = true;
+  serving.latency_target = Millis(100);
+  AddJob("j2", {serving});
+  Advance(3000);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(starts[1].run == starts[2].run);
+}
+
+// Guards against maintenance that never begins because a serving task could move only to where it
+// is beside a best-effort one.
+TEST(Dispatcher, AServingTaskLeavesAnEvacuatingServerForOneWithABestEffortTask) {
+  AddBackend("b1");
+  StepSpec serving = Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = Millis(100);
+  AddJob("j1", {serving});
+  Advance(300);
+  AddBackend("b2");
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.long_running = true;
+  best_effort.best_effort = true;
+  AddJob("j2", {best_effort});
+  Advance(300);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b2"));
+  dispatcher->SetEvacuating(BackendId("b1"), true);
+  Advance(3000);
+  LONGS_EQUAL(1, stops.size());
+  EndRun(starts[0], RunEnd::kStopped);
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(starts[2].backend == BackendId("b2"));
+}
+
 TEST(Dispatcher, StartsATimedJobWhenItIsDue) {
   AddBackend("b1");
   AddTimedJob("j1", 2000, 3000, std::nullopt);
