Maintenance counts for a wave only with a record of its order

Cause: the list of VMs does not say for which wave a VM is in maintenance. A VM that was in maintenance without an order of the wave was taken for one that an earlier owner had ordered.

The row of a wave now also names the VMs whose maintenance is ordered, and is stored before an order is sent. A later owner counts these as down until an order of its predecessor can no longer be carried out, keeps work away from them and orders them again with its own token. A VM of several waves is maintained in each, one at a time, and counts as down in all of them.

Ruled out: a late list of VMs; the trace of the script shows that the second wave sent no order for the common VMs at all.

--- a/coordination/include/sapphirewheel/coordination/maintenance_runner.h
+++ b/coordination/include/sapphirewheel/coordination/maintenance_runner.h
@@ -14,9 +14,25 @@
 
 namespace sapphirewheel {
 
-// Carries out the maintenance waves that operators ordered: frees a VM of its tasks, orders its
-// maintenance, and waits until it is back. No more VMs are down at the same time than a wave
-// allows.
+// What is stored of a wave, so that a later owner can continue it.
+struct WaveProgress {
+  std::set<VmId> finished;
+  // VMs whose maintenance in this wave may have been ordered. Stored before the first order is
+  // sent.
+  std::set<VmId> ordered;
+
+  bool operator==(const WaveProgress&) const = default;
+  // JSON; VMs that are not named have neither been ordered nor finished.
+  [[nodiscard]] std::string Encode() const;
+  // Empty if the text is malformed.
+  [[nodiscard]] static WaveProgress Decode(std::string_view text);
+};
+
+// Carries out the maintenance waves that operators ordered: frees a VM of its tasks, records that
+// its maintenance is ordered, orders it, and waits until the VM is back. No more VMs are down at
+// the same time than a wave allows. The list of VMs does not tell in which wave a VM is in
+// maintenance, so only the record does, and a VM that is in several waves is maintained in each,
+// one at a time.
 class MaintenanceRunner {
  public:
   struct Hooks {
@@ -35,8 +51,9 @@
   MaintenanceRunner(Hooks hooks, Millis maintenance_time)
       : hooks_(std::move(hooks)), maintenance_time_(maintenance_time) {}
 
-  // `finished` are the VMs whose maintenance an earlier owner recorded as finished.
-  void AddWave(const WaveOrder& order, const std::set<VmId>& finished);
+  // `progress` is what an earlier owner stored of the wave. Its last orders may still be carried
+  // out.
+  void AddWave(const WaveOrder& order, const WaveProgress& progress, MonotonicTime now);
   // Takes the platform's list of VMs, which must be complete and was requested at `requested`.
   void SetVms(const std::vector<VmReport>& vms, MonotonicTime requested, MonotonicTime now);
   void OnMaintain(const VmId& vm, std::int64_t wave, VmOrderOutcome outcome, MonotonicTime now);
@@ -49,17 +66,17 @@
 
   struct Change {
     std::int64_t wave = 0;
-    std::set<VmId> finished;
+    WaveProgress progress;
     bool completed = false;
   };
   // Takes the waves whose state has changed since the last call, to be written.
   [[nodiscard]] std::vector<Change> TakeChanges();
-
-  [[nodiscard]] static std::string EncodeFinished(const std::set<VmId>& vms);
-  [[nodiscard]] static std::set<VmId> DecodeFinished(std::string_view text);
+  // The progress of a wave has been stored, so that what it names as ordered may be ordered.
+  void OnStored(std::int64_t wave, const WaveProgress& progress);
 
  private:
-  enum class VmPhase { kPending, kFreeing, kOrdered, kDown, kFinished };
+  // kRecording: the VM is free and its order is being recorded.
+  enum class VmPhase { kPending, kFreeing, kRecording, kOrdered, kDown, kFinished };
   struct VmEntry {
     VmPhase phase = VmPhase::kPending;
     // When the phase began. For kDown, the maintenance had begun by then.
@@ -76,8 +93,18 @@
     std::set<BackendId> known_backends;
     // The backend servers at the beginning of kDown have been added to the known ones.
     bool down_observed = false;
-    // Set while an order without a reply may still be carried out.
+    // Set while an order without a reply, or one of an earlier owner, may still be carried out.
     std::optional<MonotonicTime> may_run_until;
+    // The stored progress names the order.
+    bool recorded = false;
+    // An earlier owner recorded the order, so the maintenance may have ended already.
+    bool inherited = false;
+
+    [[nodiscard]] bool MayBeOrdered(MonotonicTime now) const {
+      const bool open = may_run_until && now < *may_run_until;
+      return phase == VmPhase::kRecording || phase == VmPhase::kOrdered ||
+             phase == VmPhase::kDown || (phase == VmPhase::kFreeing && open);
+    }
   };
   struct Wave {
     WaveOrder order;
@@ -91,11 +118,20 @@
   using Servers = std::map<VmId, std::vector<const Dispatcher::BackendView*>>;
 
   void TickWave(Wave& wave, const Servers& servers, MonotonicTime now);
+  // Keeps new work away from VMs whose maintenance an earlier owner may have ordered.
+  void EvacuateInherited(const Wave& wave, const Servers& servers);
   void ObserveServers(VmEntry& entry, const std::vector<const Dispatcher::BackendView*>& servers,
                       MonotonicTime now);
   void EndServers(const VmEntry& entry);
   void BeginDown(Wave& wave, const VmId& vm, VmEntry& entry, MonotonicTime now);
   void SetPhase(Wave& wave, const VmId& vm, VmEntry& entry, VmPhase phase, MonotonicTime now);
+  // Whether the VM is being freed, or may be in maintenance, in a wave other than `number`.
+  [[nodiscard]] bool IsFreedElsewhere(const VmId& vm, std::int64_t number) const;
+  [[nodiscard]] bool IsOrderedElsewhere(const VmId& vm, std::int64_t number,
+                                        MonotonicTime now) const;
+  // Whether the last list showed the VM in maintenance, for whatever reason.
+  [[nodiscard]] bool IsListedInMaintenance(const VmId& vm) const;
+  void Order(Wave& wave, const VmId& vm, VmEntry& entry, MonotonicTime now);
 
   Hooks hooks_;
   Millis maintenance_time_;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -266,7 +266,7 @@
       ReportLoad(loads, now);
     }
     for (const auto& it : maintenance->TakeChanges()) {
-      wave_rows[it.wave] = MaintenanceRunner::EncodeFinished(it.finished);
+      wave_rows[it.wave] = it.progress;
       const bool first = known_waves.insert(it.wave).second;
       if (it.completed || first) status_writes[it.wave] = it.completed;
     }
@@ -296,7 +296,7 @@
 void FleetOwner::AddWave(const WaveOrder& order) {
   impl_->waves[order.number] = order;
   if (impl_->maintenance) {
-    impl_->maintenance->AddWave(order, impl_->finished_vms[order.number]);
+    impl_->maintenance->AddWave(order, impl_->wave_progress[order.number], impl_->ports.now());
   }
 }
 
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -99,7 +99,7 @@
     if (of_last_owner) inherited_horizon = horizon->revision;
   } else if (key.rfind(wave_prefix, 0) == 0) {
     const auto number = std::atoll(key.c_str() + wave_prefix.size());
-    finished_vms[number] = MaintenanceRunner::DecodeFinished(row.value);
+    wave_progress[number] = WaveProgress::Decode(row.value);
   }
 }
 
@@ -220,7 +220,9 @@
   autoscaler = std::make_unique<PoolAutoscaler>(settings.autoscaler, AutoscalerHooks());
   if (config) autoscaler->SetConfig(config);
   running = true;
-  for (const auto& [number, wave] : waves) maintenance->AddWave(wave, finished_vms[number]);
+  for (const auto& [number, wave] : waves) maintenance->AddWave(wave, wave_progress[number], now);
+  // Before the first work is placed.
+  maintenance->Tick(dispatcher->Backends(), now);
 }
 
 std::optional<StoredJob> FleetOwner::Impl::DecodeJobRow(const StoredRow& row) const {
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -131,8 +131,8 @@
   VmFences fences;
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
-  // VMs of each wave that earlier owners recorded as finished.
-  std::map<std::int64_t, std::set<VmId>> finished_vms;
+  // What earlier owners stored of each wave.
+  std::map<std::int64_t, WaveProgress> wave_progress;
   std::set<std::int64_t> known_waves;
 
   // When this node took the ownership; earlier owners sent no orders after it.
@@ -169,7 +169,7 @@
   MonotonicTime next_commit;
   MonotonicTime next_horizon;
   // Wave rows to be written, and the completion of waves to be shown to operators.
-  std::map<std::int64_t, std::string> wave_rows;
+  std::map<std::int64_t, WaveProgress> wave_rows;
   std::map<std::int64_t, bool> status_writes;
   bool status_in_flight = false;
   // The store's clock in its last reply, and when the call was sent and the reply was here: the
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -67,8 +67,9 @@
       }
     }
   }
-  for (const auto& [number, value] : wave_rows) {
-    tx.writes.emplace_back(rows::Owned(rows::kWavePrefix + std::to_string(number)), value);
+  for (const auto& [number, progress] : wave_rows) {
+    tx.writes.emplace_back(rows::Owned(rows::kWavePrefix + std::to_string(number)),
+                           progress.Encode());
   }
   const auto waves_sent = wave_rows;
   committing = true;
@@ -81,8 +82,10 @@
                        if (reply.outcome == StoreOutcome::kDone) {
                          if (new_roster) dispatcher->RosterWritten(*new_roster);
                          if (new_horizon) dispatcher->SetStartHorizon(*new_horizon);
-                         for (const auto& [number, value] : waves_sent) {
-                           if (wave_rows[number] == value) wave_rows.erase(number);
+                         for (const auto& [number, progress] : waves_sent) {
+                           if (wave_rows[number] == progress) wave_rows.erase(number);
+                           maintenance->OnStored(number, progress);
+                           next_autoscale = ports.now();
                          }
                        }
                        OnCommitted(reply, renew, release, now);
--- a/coordination/tests/dispatcher_availability_test.cc
+++ b/coordination/tests/dispatcher_availability_test.cc
@@ -47,15 +47,22 @@
     hooks.is_idle = [this](const BackendId& id) { return dispatcher->IsIdle(id); };
     hooks.ended = [this](const BackendId& id) { dispatcher->BackendEnded(id, Now()); };
     maintenance = std::make_unique<MaintenanceRunner>(hooks, Millis(2000));
-    maintenance->AddWave(WaveOrder{1, {v1}, Millis(20'000), 1}, {});
+    maintenance->AddWave(WaveOrder{1, {v1}, Millis(20'000), 1}, {}, Now());
     maintenance->SetVms({VmReport{v1, PoolId("p"), VmState::kUp, b1}}, Now(), Now());
+    TickMaintenance();
+  }
+
+  // Stores what has changed, as an owner does at once.
+  void TickMaintenance() {
+    maintenance->Tick(dispatcher->Backends(), Now());
+    for (const auto& it : maintenance->TakeChanges()) maintenance->OnStored(it.wave, it.progress);
     maintenance->Tick(dispatcher->Backends(), Now());
   }
 
   void AdvanceWithMaintenance(int ms) {
     for (const int until = now_ms + ms; now_ms < until;) {
       Advance(100);
-      maintenance->Tick(dispatcher->Backends(), Now());
+      TickMaintenance();
     }
   }
 };
@@ -100,7 +107,7 @@
   dispatcher->RemoveBackend(b1, Now());
   StartWave();
   AdvanceWithoutReplies(100);
-  maintenance->Tick(dispatcher->Backends(), Now());
+  TickMaintenance();
   LONGS_EQUAL(0, ordered.size());
 }
 
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -15,22 +15,32 @@
 
 TEST_GROUP(MaintenanceRunner) {
   std::vector<VmId> ordered;
+  // Wave of the last order.
+  std::int64_t last_wave = 0;
   std::set<BackendId> evacuated;
   std::set<BackendId> busy;
+  std::set<BackendId> ended;
   std::vector<Dispatcher::BackendView> backends;
   std::vector<VmReport> vms;
 
+  // The last progress that was stored of each wave, and the waves that are completed.
+  std::map<std::int64_t, WaveProgress> stored;
+  std::set<std::int64_t> completed;
+
   MaintenanceRunner runner{Hooks(), Millis(2000)};
 
   MaintenanceRunner::Hooks Hooks() {
     MaintenanceRunner::Hooks hooks;
-    hooks.maintain = [this](const VmId& vm, std::int64_t) { ordered.push_back(vm); };
+    hooks.maintain = [this](const VmId& vm, std::int64_t wave) {
+      ordered.push_back(vm);
+      last_wave = wave;
+    };
     hooks.evacuate = [this](const BackendId& id, bool on) {
       on ? void(evacuated.insert(id)) : void(evacuated.erase(id));
     };
     hooks.avoid = [](const BackendId&, bool) {};
     hooks.is_idle = [this](const BackendId& id) { return busy.count(id) == 0; };
-    hooks.ended = [](const BackendId&) {};
+    hooks.ended = [this](const BackendId& id) { ended.insert(id); };
     return hooks;
   }
 
@@ -43,6 +53,17 @@
     vms.push_back(VmReport{VmId(name), PoolId("p"), VmState::kUp, view.id});
   }
 
+  // Stores what has changed, as an owner does at once.
+  void Tick(int at) {
+    runner.Tick(backends, At(at));
+    for (const auto& it : runner.TakeChanges()) {
+      stored[it.wave] = it.progress;
+      if (it.completed) completed.insert(it.wave);
+      runner.OnStored(it.wave, it.progress);
+    }
+    runner.Tick(backends, At(at));
+  }
+
   // The VM returns with a new incarnation of its backend server.
   void Return(const char* name) {
     for (auto& it : backends) {
@@ -53,7 +74,7 @@
   void Start(int max_down) {
     WaveOrder order{1, {}, Millis(20'000), max_down};
     for (const auto& it : vms) order.vms.push_back(it.vm);
-    runner.AddWave(order, {});
+    runner.AddWave(order, {}, At(0));
     runner.SetVms(vms, At(0), At(0));
   }
 };
@@ -61,13 +82,13 @@
 TEST(MaintenanceRunner, DoesNotExceedTheMaximumNumberOfVmsDown) {
   for (const char* it : {"v1", "v2", "v3"}) AddVm(it);
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   LONGS_EQUAL(1, ordered.size());
   runner.OnMaintain(ordered[0], 1, VmOrderOutcome::kDone, At(10));
-  runner.Tick(backends, At(100));
+  Tick(100);
   LONGS_EQUAL(1, ordered.size());
   Return(ordered[0].str().c_str());
-  runner.Tick(backends, At(2100));
+  Tick(2100);
   LONGS_EQUAL(2, ordered.size());
 }
 
@@ -75,10 +96,10 @@
   AddVm("v1");
   busy.insert(BackendId("b-v1"));
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   LONGS_EQUAL(0, ordered.size());
   busy.clear();
-  runner.Tick(backends, At(20));
+  Tick(20);
   LONGS_EQUAL(1, ordered.size());
 }
 
@@ -89,10 +110,10 @@
   busy.insert(BackendId("b-v1"));
   backends.clear();
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   LONGS_EQUAL(0, ordered.size());
   busy.clear();
-  runner.Tick(backends, At(100));
+  Tick(100);
   LONGS_EQUAL(1, ordered.size());
 }
 
@@ -100,9 +121,9 @@
 TEST(MaintenanceRunner, CountsAnOrderWithoutAReplyAsDownAndRepeatsIt) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(ordered[0], 1, VmOrderOutcome::kUnknown, At(100));
-  runner.Tick(backends, At(1000));
+  Tick(1000);
   LONGS_EQUAL(2, ordered.size());
   CHECK(ordered[0] == ordered[1]);
 }
@@ -111,16 +132,16 @@
 TEST(MaintenanceRunner, OrdersNoOtherVmWhileAnOrderMayStillBeCarriedOut) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(100));
   busy.insert(BackendId("b-v1"));
-  runner.Tick(backends, At(1000));
+  Tick(1000);
   LONGS_EQUAL(2, ordered.size());
   CHECK(ordered[1] == VmId("v1"));
   // The repeated order is refused, which does not show the outcome of the first one.
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(1100));
   for (int at = 2000; at < 13'000; at += 500) {
-    runner.Tick(backends, At(at));
+    Tick(at);
     if (ordered.back() == VmId("v1")) {
       runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(at + 10));
     }
@@ -129,7 +150,7 @@
       std::all_of(ordered.begin(), ordered.end(), [](const auto& it) { return it == VmId("v1"); }));
   // Too late to be carried out.
   for (int at = 13'500; at < 15'000; at += 500) {
-    runner.Tick(backends, At(at));
+    Tick(at);
     if (ordered.back() != VmId("v1")) break;
     runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(at + 10));
   }
@@ -140,15 +161,14 @@
 TEST(MaintenanceRunner, SeesTheReturnOfAVmWithoutBackendServer) {
   vms.push_back(VmReport{VmId("v1"), PoolId("spare"), VmState::kUp, BackendId()});
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
   runner.SetVms(vms, At(500), At(500));
   CHECK(runner.IsPending(VmId("v1")));
   runner.SetVms(vms, At(3100), At(3100));
-  runner.Tick(backends, At(3100));
+  Tick(3100);
   CHECK_FALSE(runner.IsPending(VmId("v1")));
-  const auto changes = runner.TakeChanges();
-  CHECK(changes.back().completed);
+  CHECK(completed.count(1) > 0);
 }
 
 // Guards against waves that take twice as long as the maintenance of their VMs: the return of a VM
@@ -156,7 +176,7 @@
 TEST(MaintenanceRunner, SeesTheReturnOfAVmAfterAListThatShowedItInMaintenance) {
   vms.push_back(VmReport{VmId("v1"), PoolId("spare"), VmState::kUp, BackendId()});
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
   vms[0].state = VmState::kMaintenance;
   runner.SetVms(vms, At(300), At(300));
@@ -178,15 +198,15 @@
 TEST(MaintenanceRunner, DoesNotTakeAServerOfAnEarlierMoveForTheReturn) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
   Return("v1");
-  runner.Tick(backends, At(900));
+  Tick(900);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(3000));
-  for (int at = 3000; at < 5000; at += 100) runner.Tick(backends, At(at));
+  for (int at = 3000; at < 5000; at += 100) Tick(at);
   CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 0);
   Return("v1");
-  runner.Tick(backends, At(5100));
+  Tick(5100);
   CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 1);
 }
 
@@ -195,14 +215,14 @@
 TEST(MaintenanceRunner, DoesNotTakeAListFromBeforeTheConfirmationForTheReturn) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
-  runner.Tick(backends, At(900));
+  Tick(900);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(3000));
   vms[0].backend = BackendId("moved");
   runner.SetVms(vms, At(2900), At(3050));
   runner.SetVms(vms, At(3600), At(3650));
-  runner.Tick(backends, At(3700));
+  Tick(3700);
   CHECK(runner.IsPending(VmId("v1")));
   CHECK(std::count(ordered.begin(), ordered.end(), VmId("v2")) == 0);
 }
@@ -211,12 +231,12 @@
 TEST(MaintenanceRunner, SeesTheReturnInTheListAfterALateReply) {
   AddVm("v1");
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   Return("v1");
   vms[0].backend = backends[0].id;
-  runner.Tick(backends, At(2100));
+  Tick(2100);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(2900));
-  runner.Tick(backends, At(3000));
+  Tick(3000);
   runner.SetVms(vms, At(3900), At(3920));
   CHECK_FALSE(runner.IsPending(VmId("v1")));
 }
@@ -225,13 +245,13 @@
 TEST(MaintenanceRunner, SeesInTheListThatAnOrderWithoutAReplyWasCarriedOut) {
   AddVm("v1");
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
   vms[0].state = VmState::kMaintenance;
   runner.SetVms(vms, At(1100), At(1120));
-  runner.Tick(backends, At(1200));
+  Tick(1200);
   Return("v1");
-  runner.Tick(backends, At(2100));
+  Tick(2100);
   CHECK_FALSE(runner.IsPending(VmId("v1")));
 }
 
@@ -240,16 +260,16 @@
 TEST(MaintenanceRunner, AServerThatComesUpWhileAnOrderIsOpenGetsNoWork) {
   AddVm("v1");
   Start(1);
-  runner.Tick(backends, At(0));
+  Tick(0);
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kUnknown, At(500));
   Return("v1");
   const BackendId server = backends[0].id;
-  runner.Tick(backends, At(2200));
+  Tick(2200);
   CHECK(evacuated.count(server) == 1);
   // It was the return.
   vms[0].backend = server;
   runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(2900));
-  runner.Tick(backends, At(3000));
+  Tick(3000);
   CHECK(evacuated.count(server) == 1);
   runner.SetVms(vms, At(4000), At(4020));
   CHECK(evacuated.count(server) == 0);
@@ -258,11 +278,172 @@
 TEST(MaintenanceRunner, SkipsVmsThatAnEarlierOwnerFinished) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 2};
-  const auto finished =
-      MaintenanceRunner::DecodeFinished(MaintenanceRunner::EncodeFinished({VmId("v1")}));
-  runner.AddWave(order, finished);
+  const auto progress = WaveProgress::Decode(WaveProgress{{VmId("v1")}, {}}.Encode());
+  runner.AddWave(order, progress, At(0));
   runner.SetVms(vms, At(0), At(0));
-  runner.Tick(backends, At(0));
+  Tick(0);
+  LONGS_EQUAL(1, ordered.size());
+  CHECK(ordered[0] == VmId("v2"));
+}
+
+// Guards against waves that are said to be completed without the maintenance of one of their VMs:
+// its maintenance in another wave was taken for theirs.
+TEST(MaintenanceRunner, MaintainsAVmInEachOfItsWaves) {
+  AddVm("v1");
+  Start(1);
+  runner.AddWave(WaveOrder{2, {VmId("v1")}, Millis(20'000), 1}, {}, At(0));
+  Tick(0);
+  LONGS_EQUAL(1, ordered.size());
+  LONGS_EQUAL(1, last_wave);
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(10));
+  vms[0].state = VmState::kMaintenance;
+  runner.SetVms(vms, At(1200), At(1210));
+  Tick(1300);
+  LONGS_EQUAL(1, ordered.size());
+  Return("v1");
+  vms[0].state = VmState::kUp;
+  vms[0].backend = backends[0].id;
+  Tick(2100);
+  runner.SetVms(vms, At(3200), At(3210));
+  Tick(3300);
+  CHECK(completed.count(1) > 0);
+  CHECK(completed.count(2) == 0);
+  // It got no work between the two.
+  CHECK(evacuated.count(backends[0].id) > 0);
+  LONGS_EQUAL(2, ordered.size());
+  LONGS_EQUAL(2, last_wave);
+  runner.OnMaintain(VmId("v1"), 2, VmOrderOutcome::kDone, At(3310));
+  Tick(3400);
+  Return("v1");
+  Tick(5400);
+  CHECK(completed.count(2) > 0);
+}
+
+// The same without any record, such as for a VM that somebody else maintains.
+TEST(MaintenanceRunner, DoesNotTakeMaintenanceWithoutARecordForItsOwn) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  vms[0].state = VmState::kMaintenance;
+  Start(1);
+  Tick(0);
+  // It counts as down.
+  LONGS_EQUAL(0, ordered.size());
+  vms[0].state = VmState::kUp;
+  runner.SetVms(vms, At(2000), At(2010));
+  Tick(2100);
+  LONGS_EQUAL(1, ordered.size());
+  CHECK(runner.IsPending(VmId("v1")));
+  CHECK(runner.IsPending(VmId("v2")));
+}
+
+// Guards against waves with more VMs down than allowed: the order of an owner that has ended may
+// still be carried out, and its successor did not know of it.
+TEST(MaintenanceRunner, CountsWhatAnEarlierOwnerMayHaveOrderedAsDown) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 1};
+  busy.insert(BackendId("b-v1"));
+  runner.AddWave(order, WaveProgress{{}, {VmId("v1")}}, At(0));
+  // It gets no work even before the first list of VMs.
+  Tick(0);
+  CHECK(evacuated.count(BackendId("b-v1")) > 0);
+  runner.SetVms(vms, At(10), At(20));
+  Tick(100);
+  LONGS_EQUAL(0, ordered.size());
+  // The order of this owner shows the platform its higher token.
+  busy.clear();
+  Tick(200);
+  LONGS_EQUAL(1, ordered.size());
+  CHECK(ordered[0] == VmId("v1"));
+  // It may have been confirmed because the earlier one was carried out, so the server may be in
+  // use.
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(210));
+  CHECK(ended.empty());
+  Tick(300);
+  LONGS_EQUAL(1, ordered.size());
+  runner.SetVms(vms, At(3400), At(3410));
+  CHECK(ended.empty());
+  Tick(3500);
+  LONGS_EQUAL(2, ordered.size());
+  CHECK(ordered[1] == VmId("v2"));
+}
+
+// An order that was never carried out does not hold up its wave for long.
+TEST(MaintenanceRunner, AnOrderOfAnEarlierOwnerIsTooLateAfterAWhile) {
+  for (const char* it : {"v1", "v2"}) AddVm(it);
+  WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 1};
+  busy.insert(BackendId("b-v1"));
+  runner.AddWave(order, WaveProgress{{}, {VmId("v1")}}, At(0));
+  runner.SetVms(vms, At(10), At(20));
+  Tick(12'900);
+  LONGS_EQUAL(0, ordered.size());
+  Tick(13'100);
   LONGS_EQUAL(1, ordered.size());
   CHECK(ordered[0] == VmId("v2"));
 }
+
+// The list shows that the repeated order was carried out and not only confirmed.
+TEST(MaintenanceRunner, ARepeatedOrderOfAnEarlierOwnerEndsTheServerThatTheListNoLongerShows) {
+  AddVm("v1");
+  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1}, WaveProgress{{}, {VmId("v1")}},
+                 At(0));
+  runner.SetVms(vms, At(10), At(20));
+  Tick(100);
+  LONGS_EQUAL(1, ordered.size());
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kDone, At(210));
+  Tick(300);
+  CHECK(ended.empty());
+  vms[0].state = VmState::kMaintenance;
+  runner.SetVms(vms, At(1300), At(1310));
+  CHECK(ended.count(BackendId("b-v1")) > 0);
+}
+
+TEST(MaintenanceRunner, SeesTheMaintenanceThatAnEarlierOwnerOrdered) {
+  AddVm("v1");
+  vms[0].state = VmState::kMaintenance;
+  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1}, WaveProgress{{}, {VmId("v1")}},
+                 At(0));
+  runner.SetVms(vms, At(2000), At(2010));
+  Tick(2010);
+  vms[0].state = VmState::kUp;
+  runner.SetVms(vms, At(3200), At(3210));
+  Tick(3300);
+  CHECK(completed.count(1) > 0);
+  LONGS_EQUAL(0, ordered.size());
+}
+
+// Guards against orders that a successor does not know of.
+TEST(MaintenanceRunner, OrdersNothingBeforeTheRecordIsStored) {
+  AddVm("v1");
+  Start(1);
+  for (int at = 0; at < 1000; at += 100) runner.Tick(backends, At(at));
+  LONGS_EQUAL(0, ordered.size());
+  const auto changes = runner.TakeChanges();
+  LONGS_EQUAL(1, changes.size());
+  CHECK(changes[0].progress.ordered == std::set<VmId>{VmId("v1")});
+  // An earlier write that does not name the VM.
+  runner.OnStored(1, WaveProgress{});
+  runner.Tick(backends, At(1000));
+  LONGS_EQUAL(0, ordered.size());
+  runner.OnStored(1, changes[0].progress);
+  runner.Tick(backends, At(1100));
+  LONGS_EQUAL(1, ordered.size());
+}
+
+// A refused order is recorded again before it is repeated.
+TEST(MaintenanceRunner, ARefusedOrderIsNoLongerRecorded) {
+  AddVm("v1");
+  Start(1);
+  Tick(0);
+  CHECK(stored[1].ordered.count(VmId("v1")) > 0);
+  runner.OnMaintain(VmId("v1"), 1, VmOrderOutcome::kBusy, At(10));
+  Tick(100);
+  CHECK(stored[1].ordered.empty());
+}
+
+TEST(MaintenanceRunner, ProgressOfAnOlderVersionNamesNoOrders) {
+  const auto progress = WaveProgress::Decode(R"({"finished":["v1"]})");
+  CHECK(progress.finished == std::set<VmId>{VmId("v1")});
+  CHECK(progress.ordered.empty());
+  CHECK(WaveProgress::Decode("[1]") == WaveProgress{});
+  const WaveProgress both{{VmId("v1")}, {VmId("v2")}};
+  CHECK(WaveProgress::Decode(both.Encode()) == both);
+}
