A new owner knows the pools in which runs of a queue may be

Cause: the successor waits for silent servers, but only for those of the pool to which its own configuration routes the queue. Steps, gangs and the upper limits of teams asked so; limits left out queues that were removed.

The owner stores the pools of each queue before it starts a run there. The successor asks this record in one place. A former pool is dropped when it has no run of the queue and no silent server. Without a record, or if a later owner of an older version stored none, runs may be in any pool.

Ruled out: a lease shorter than assumed; in the trace the lease of the first run lapsed 6 s after its last order, as the roster said.

--- a/coordination/include/sapphirewheel/coordination/coordination.h
+++ b/coordination/include/sapphirewheel/coordination/coordination.h
@@ -30,6 +30,7 @@
 #include "sapphirewheel/coordination/pool_autoscaler.h"
 #include "sapphirewheel/coordination/pool_controller.h"
 #include "sapphirewheel/coordination/pool_planner.h"
+#include "sapphirewheel/coordination/queue_routes.h"
 #include "sapphirewheel/coordination/rendezvous.h"
 #include "sapphirewheel/coordination/share_meter.h"
 #include "sapphirewheel/coordination/stored_job.h"
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "sapphirewheel/coordination/dispatch_model.h"
 #include "sapphirewheel/coordination/job_progress.h"
+#include "sapphirewheel/coordination/queue_routes.h"
 
 namespace sapphirewheel {
 
@@ -209,6 +210,17 @@
   void RosterSent(const Roster& roster);
   void RosterWritten(const Roster& roster);
 
+  // Sets the pools in which earlier owners may have started runs of each queue's jobs; to be called
+  // before the first job is added. If it is not called, they may be in any pool.
+  void SetRoutes(const QueueRoutes& routes);
+  // The routes that runs need, if they differ from those written last. Runs of a queue's jobs start
+  // in a pool only after the routes that contain it have been written, so that a successor knows
+  // where they may be, whatever configuration it has.
+  [[nodiscard]] std::optional<QueueRoutes> RoutesToWrite();
+  // A write of the routes was sent. From then on a successor may believe it.
+  void RoutesSent(const QueueRoutes& routes);
+  void RoutesWritten(const QueueRoutes& routes);
+
   // Takes note of servers of the roster whose VM has left them, by a list of VMs that is newer than
   // the ownership. Nothing runs there, so nothing waits for their leases.
   void OnVmList(const std::vector<VmReport>& vms, MonotonicTime now);
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -34,8 +34,10 @@
 
 void Dispatcher::SetConfig(std::shared_ptr<const DispatchConfig> config) {
   impl_->config = std::move(config);
+  impl_->routes_changed = true;
   for (auto& [id, job] : impl_->jobs) {
     job->queue = impl_->config ? impl_->config->FindQueue(job->stored.queue) : nullptr;
+    impl_->AddRoute(*job);
   }
   impl_->place_due = true;
 }
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -101,6 +101,7 @@
     return;
   }
   open_jobs.insert(&job);
+  AddRoute(job);
   const TeamPolicy* team = config ? config->FindTeam(job.stored.team) : nullptr;
   job.over_share =
       team != nullptr && !share_meter.Take(team->id, team->share, job.stored.accepted_at);
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -213,7 +213,7 @@
   for (const auto& [id, entry] : roster_pending) unknown_pools.insert(entry.pool);
   if (unknown_pools.empty()) return;
   for (const JobEntry* job : open_jobs) {
-    if (!job->inherited || job->queue == nullptr || AllRunsKnown(job->queue->pool)) continue;
+    if (AllRunsKnown(*job)) continue;
     Resources& use = inherited_use[job->stored.team];
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
@@ -240,11 +240,6 @@
          IsWithin(use.accelerators, policy->limit.accelerators);
 }
 
-// Whether no run of an earlier owner in the pool can be unknown to this one.
-bool Dispatcher::Impl::AllRunsKnown(const PoolId& pool) const {
-  return unknown_pools.count(pool) == 0;
-}
-
 bool Dispatcher::Impl::MayStart(const TaskState& task, bool runs_known) const {
   if (task.phase != TaskPhase::kWaiting || task.not_before > now_) return false;
   return runs_known || task.located;
@@ -285,8 +280,9 @@
     const QueuePolicy* queue = job->queue;
     if (queue == nullptr) continue;
     if (!job->inherited && job->stored.revision > start_horizon) continue;
+    if (!routes_written.Contains(queue->id, queue->pool)) continue;
     const Resources& largest_free = ServersOf(queue->pool).largest_free;
-    const bool runs_known = !job->inherited || AllRunsKnown(queue->pool);
+    const bool runs_known = AllRunsKnown(*job);
     for (auto& [number, occurrence] : job->open) {
       for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
         const StepState& step = occurrence.steps[n];
@@ -332,7 +328,7 @@
   const QueuePolicy* queue = job.queue;
   const StepSpec& spec = job.stored.spec.steps[candidate.step];
   StepState& step = candidate.occurrence->steps[candidate.step];
-  const bool runs_known = !job.inherited || AllRunsKnown(queue->pool);
+  const bool runs_known = AllRunsKnown(job);
   if (spec.gang) {
     PlaceGang(candidate, *queue);
     return;
@@ -395,7 +391,7 @@
   Resources sum;
   RunNumber run;
   std::string checkpoint;
-  const bool runs_known = !job.inherited || AllRunsKnown(queue.pool);
+  const bool runs_known = AllRunsKnown(job);
   for (const TaskState& it : step.tasks) {
     if (!MayStart(it, runs_known)) return;
     sum += spec.per_task;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -295,6 +295,15 @@
   [[nodiscard]] bool BudgetAllowsStop(const TaskRef& ref) const;
   BackendEntry* FindBackend(const BackendId& id);
 
+  // dispatcher_routes.cc
+  void AddRoute(const JobEntry& job);
+  // Whether runs of the queue's jobs are or may be in the pool.
+  [[nodiscard]] bool MayRunIn(const QueueId& queue, const PoolId& pool);
+  void DropUnusedRoutes();
+  [[nodiscard]] bool AllRunsKnown(const PoolId& pool) const;
+  // Whether no run of the job in any pool can be unknown to this owner.
+  [[nodiscard]] bool AllRunsKnown(const JobEntry& job) const;
+
   // dispatcher_placement.cc
   struct Candidate {
     int tier = 0;
@@ -347,7 +356,6 @@
   [[nodiscard]] static bool IsLate(const QueuePolicy& queue, const OccurrenceState& occurrence,
                                    UnixMillis wall);
   [[nodiscard]] bool IsWithinLimit(const TeamId& team, const Resources& more) const;
-  [[nodiscard]] bool AllRunsKnown(const PoolId& pool) const;
   // `runs_known` is whether no run of the job can be unknown.
   [[nodiscard]] bool MayStart(const TaskState& task, bool runs_known) const;
   // Updates unknown_pools and inherited_use, for one placement round.
@@ -390,6 +398,14 @@
   Revision newest_job;
   Roster roster_written;
   bool roster_ever_written = false;
+  // What earlier owners stored; absent if they may have started runs in any pool.
+  std::optional<QueueRoutes> inherited_routes;
+  QueueRoutes routes;
+  // Set while `routes` may name pools that queues no longer need.
+  bool routes_changed = false;
+  // Runs of a queue's jobs start only in pools that these name.
+  QueueRoutes routes_written;
+  bool routes_ever_written = false;
   // Backend servers that a roster without a confirmed write gives up.
   std::set<BackendId> given_up;
   // Sequence number of the last change of any job's progress.
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -95,8 +95,12 @@
       return;
     }
     // An owner that has not stored a horizon may have started any job.
+    horizon_token = horizon->token;
     const bool of_last_owner = horizon->token.count() + 1 == lease.token().count();
     if (of_last_owner) inherited_horizon = horizon->revision;
+  } else if (key == rows::kRoutes) {
+    inherited_routes = RouteRecord::Decode(row.value);
+    if (!inherited_routes) ReportEvent(NodeEvent::kJobUnreadable, "routes: " + row.value);
   } else if (key.rfind(wave_prefix, 0) == 0) {
     const auto number = std::atoll(key.c_str() + wave_prefix.size());
     wave_progress[number] = WaveProgress::Decode(row.value);
@@ -191,6 +195,8 @@
   dispatcher_settings.token = lease.token();
   dispatcher = std::make_unique<Dispatcher>(dispatcher_settings, DispatcherHooks(), now);
   dispatcher->SetRoster(roster, taken_at);
+  const bool complete = inherited_routes && inherited_routes->IsComplete(horizon_token);
+  if (complete) dispatcher->SetRoutes(inherited_routes->routes);
   if (config) dispatcher->SetConfig(config);
   for (const StoredRow& row : loaded_backends) ApplyBackendRow(row);
   std::vector<StoredJob> jobs;
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -151,6 +151,10 @@
   Roster roster;
   // The horizon of the last owner, if it stored one: no later job has been started.
   std::optional<Revision> inherited_horizon;
+  // The token of the last owner that stored a horizon, and the routes of the last one that stored
+  // any.
+  std::optional<Epoch> horizon_token;
+  std::optional<RouteRecord> inherited_routes;
   // The start horizon that was sent last. It is ahead of the newest revision seen by as many
   // revisions as there were between the last two renewals, so that most jobs need not wait for it.
   Revision horizon;
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -36,8 +36,12 @@
   const bool renew = lease.RenewalDue(now) || commit_uncertain;
   const bool work = running && dispatcher->HasWrites();
   auto new_roster = running ? dispatcher->RosterToWrite() : std::nullopt;
+  const auto new_routes = running ? dispatcher->RoutesToWrite() : std::nullopt;
   const bool release = releasing && !work && open_vm_orders == 0;
-  if (!renew && !work && !new_roster && wave_rows.empty() && !release && !above_horizon) return;
+  if (!renew && !work && !new_roster && !new_routes && wave_rows.empty() && !release &&
+      !above_horizon) {
+    return;
+  }
   if (running) {
     horizon = std::max({horizon, Revision(newest_seen.count() + revisions_per_renewal),
                         above_horizon.value_or(Revision())});
@@ -56,6 +60,10 @@
     if (new_roster) {
       tx.writes.emplace_back(rows::Owned(rows::kRoster), EncodeRoster(*new_roster));
     }
+    if (new_routes) {
+      tx.writes.emplace_back(rows::Owned(rows::kRoutes),
+                             RouteRecord{lease.token(), *new_routes}.Encode());
+    }
     tx.writes.emplace_back(rows::Owned(rows::kStartHorizon),
                            StartHorizon{lease.token(), horizon}.Encode());
     if (renew && !release) {
@@ -75,12 +83,14 @@
   committing = true;
   const std::optional<Revision> new_horizon = running ? std::optional(horizon) : std::nullopt;
   if (new_roster) dispatcher->RosterSent(*new_roster);
+  if (new_routes) dispatcher->RoutesSent(*new_routes);
   const Millis timeout = std::clamp(kTimeoutFactor * commit_time, kMinCommitTimeout, kStoreTimeout);
   ports.store.Commit(tx, timeout,
-                     OnRows([this, renew, release, new_roster, new_horizon, waves_sent,
+                     OnRows([this, renew, release, new_roster, new_routes, new_horizon, waves_sent,
                              now](const RowsReply& reply) {
                        if (reply.outcome == StoreOutcome::kDone) {
                          if (new_roster) dispatcher->RosterWritten(*new_roster);
+                         if (new_routes) dispatcher->RoutesWritten(*new_routes);
                          if (new_horizon) dispatcher->SetStartHorizon(*new_horizon);
                          for (const auto& [number, progress] : waves_sent) {
                            if (wave_rows[number] == progress) wave_rows.erase(number);
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -80,11 +80,11 @@
   }
 
   void AddBackend(const char* id, std::vector<std::string> labels = {"a", "r1"},
-                  const char* address = "") {
+                  const char* address = "", const char* pool = "p") {
     BackendReport report;
     report.id = BackendId(id);
     report.address = address;
-    report.pool = PoolId("p");
+    report.pool = PoolId(pool);
     report.capacity = kServer;
     report.labels = std::move(labels);
     report.started_at = UnixMillis(started_at);
@@ -132,6 +132,7 @@
   void Advance(int ms) {
     for (const int until = now_ms + ms; now_ms < until; now_ms += 20) {
       if (const auto roster = dispatcher->RosterToWrite()) dispatcher->RosterWritten(*roster);
+      if (const auto routes = dispatcher->RoutesToWrite()) dispatcher->RoutesWritten(*routes);
       constexpr std::size_t kBatch = 100;
       written += dispatcher->TakeWrites(kBatch).size();
       dispatcher->WritesDone(true);
--- /dev/null
+++ b/coordination/tests/dispatcher_routes_test.cc
@@ -0,0 +1,223 @@
+#include <algorithm>
+
+#include "dispatcher_fixture.h"
+
+using namespace sapphirewheel;           // NOLINT(google-build-using-namespace)
+using namespace sapphirewheel::testing;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// Longer than the lease of a backend server's runs.
+constexpr int kAfterLease = 7000;
+
+}  // namespace
+
+// Where runs of an earlier owner may be after a queue was moved to another pool.
+TEST_GROUP_BASE(DispatcherRoutes, DispatcherFixture) {
+  const QueueId queue{"q"};
+  const PoolId former{"p"};
+  const PoolId present{"p2"};
+
+  // An empty pool removes the queue.
+  void SetPool(const PoolId& pool) {
+    auto config = std::make_shared<DispatchConfig>();
+    config->pools = {{former, false, false}, {present, false, false}};
+    QueuePolicy policy;
+    policy.id = queue;
+    policy.pool = pool;
+    policy.attempts = 2;
+    if (!pool.empty()) config->queues = {policy};
+    policy.id = QueueId("q2");
+    policy.pool = present;
+    config->queues.push_back(policy);
+    config->teams = {TeamPolicy{TeamId("t"), {}, 1, {3000, 0, 0}}};
+    dispatcher->SetConfig(config);
+  }
+
+  QueueRoutes Routes(const std::vector<PoolId>& pools) {
+    QueueRoutes routes;
+    for (const PoolId& it : pools) routes.Add(queue, it);
+    return routes;
+  }
+
+  // The owner with token 2 knows of a silent server of the former pool, and has one of the present.
+  void TakeOver() {
+    MakeDispatcher(2);
+    dispatcher->SetRoster({{BackendId("b1"), {former, std::nullopt, VmId()}}}, Now());
+    silent.insert(BackendId("b1"));
+    AddBackend("b2", {}, "", "p2");
+  }
+
+  void AddJobOf(const char* id, const QueueId& of, const StepSpec& step, const char* team) {
+    StoredJob job;
+    job.id = JobId(id);
+    job.queue = of;
+    job.team = TeamId(team);
+    job.accepted_at = UnixMillis(now_ms);
+    job.spec.steps = {step};
+    dispatcher->AddJob(job, std::nullopt, false, Now());
+  }
+};
+
+// Guards against two runs of a task: a new owner looked for silent servers only in the pool to
+// which the queue is routed now.
+TEST(DispatcherRoutes, ANewOwnerWaitsForSilentServersOfTheFormerPool) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former, present}));
+  SetPool(present);
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLease);
+  LONGS_EQUAL(1, starts.size());
+}
+
+TEST(DispatcherRoutes, AGangWaitsForSilentServersOfTheFormerPool) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former, present}));
+  SetPool(present);
+  StepSpec step = Step(2, 1000);
+  step.gang = true;
+  AddJob("j1", {step}, "", true);
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLease);
+  LONGS_EQUAL(2, starts.size());
+}
+
+// The configuration may also change after the takeover.
+TEST(DispatcherRoutes, AMoveAfterTheTakeoverDoesNotEndTheWait) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former}));
+  SetPool(former);
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(1000);
+  SetPool(present);
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLease);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// Guards against teams above their upper limit by runs on silent servers of a former pool.
+TEST(DispatcherRoutes, RunsThatMayBeInTheFormerPoolCountForTheUpperLimit) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former, present}));
+  SetPool(present);
+  AddJob("j1", {Step(3, 1000)}, "t", true);
+  AddJobOf("j2", QueueId("q2"), Step(1, 1000), "t");
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLease);
+  LONGS_EQUAL(3, starts.size());
+}
+
+// The same for a queue that the configuration no longer has.
+TEST(DispatcherRoutes, RunsOfARemovedQueueCountForTheUpperLimit) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former}));
+  SetPool(PoolId());
+  AddJob("j1", {Step(3, 1000)}, "t", true);
+  AddJobOf("j2", QueueId("q2"), Step(1, 1000), "t");
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLease);
+  LONGS_EQUAL(1, starts.size());
+}
+
+TEST(DispatcherRoutes, JobsDoNotWaitForSilentServersOfPoolsInWhichTheirQueueNeverWas) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({present}));
+  SetPool(present);
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(500);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// An owner of an older version stores no routes.
+TEST(DispatcherRoutes, WithoutStoredRoutesRunsMayBeInAnyPool) {
+  TakeOver();
+  SetPool(present);
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+}
+
+TEST(DispatcherRoutes, NothingStartsInAPoolBeforeTheRouteIsWritten) {
+  SetPool(former);
+  AddBackend("b1");
+  AddBackend("b2", {}, "", "p2");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  SetPool(present);
+  AddJob("j2", {Step(1, 1000)});
+  for (int n = 0; n < 20; ++n) {
+    dispatcher->Tick(Now(), true);
+    now_ms += 20;
+  }
+  LONGS_EQUAL(1, starts.size());
+  const auto routes = dispatcher->RoutesToWrite();
+  CHECK(routes.has_value());
+  CHECK(*routes == Routes({former, present}));
+  dispatcher->RoutesSent(*routes);
+  dispatcher->Tick(Now(), true);
+  LONGS_EQUAL(1, starts.size());
+  dispatcher->RoutesWritten(*routes);
+  dispatcher->Tick(Now(), true);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b2"));
+}
+
+TEST(DispatcherRoutes, AFormerPoolIsKeptWhileItHasRunsOfTheQueue) {
+  SetPool(former);
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  SetPool(present);
+  CHECK(*dispatcher->RoutesToWrite() == Routes({former, present}));
+  Advance(1000);
+  CHECK_FALSE(dispatcher->RoutesToWrite().has_value());
+  EndRun(starts[0], RunEnd::kDone);
+  for (int n = 0; n < 20; ++n) {
+    dispatcher->Tick(Now(), true);
+    const auto due = std::move(polls);
+    polls.clear();
+    for (const PollOrder& it : due) ReplyTo(it);
+    now_ms += 20;
+  }
+  const auto routes = dispatcher->RoutesToWrite();
+  CHECK(routes.has_value());
+  CHECK(*routes == Routes({present}));
+}
+
+// A former pool is needed as long as a silent server of it may have runs, also before the first
+// round of placement.
+TEST(DispatcherRoutes, AFormerPoolIsKeptWhileAServerOfItIsSilent) {
+  TakeOver();
+  dispatcher->SetRoutes(Routes({former, present}));
+  SetPool(present);
+  CHECK(*dispatcher->RoutesToWrite() == Routes({former, present}));
+  Advance(kAfterLease);
+  CHECK(dispatcher->RoutesToWrite() == std::nullopt);
+}
+
+// Without a reply to the write, the successor may or may not know the former pool.
+TEST(DispatcherRoutes, ARouteThatAWriteUnderWayDropsIsNotUsedAgainBeforeAnotherWrite) {
+  SetPool(former);
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(300);
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(300);
+  SetPool(present);
+  AddJob("j2", {Step(1, 1000)});
+  const auto dropping = dispatcher->RoutesToWrite();
+  CHECK(*dropping == Routes({present}));
+  dispatcher->RoutesSent(*dropping);
+  SetPool(former);
+  dispatcher->Tick(Now(), true);
+  LONGS_EQUAL(1, starts.size());
+  Advance(300);
+  LONGS_EQUAL(2, starts.size());
+}
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -194,6 +194,13 @@
   Apply(tx);
 }
 
+void FleetSim::MoveQueue(int queue, int pool) {
+  config.version = ConfigVersion(config.version.count() + 1);
+  config.queues[queue].pool = config.pools[pool].id;
+  Trace(-1, config.queues[queue].id.str() + " moves to " + config.pools[pool].id.str());
+  Put({"operator", "", "config"}, "config");
+}
+
 RowsReply FleetSim::Changes(const std::string& table, std::uint64_t after) {
   RowsReply reply;
   reply.now = StoreClock(now_);
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -126,6 +126,8 @@
   void CrashBackend(const BackendId& id, std::int64_t down_for, bool same_id,
                     std::int64_t unregistered_for = 0);
   void SetDraining(const BackendId& id);
+  // Changes the configuration so that the jobs of a queue run in another pool.
+  void MoveQueue(int queue, int pool);
 
   // Submits a random job to a random node; retries until it is accepted.
   void SubmitRandomJob();
--- a/coordination/tests/fleet_takeover_schedule_test.cc
+++ b/coordination/tests/fleet_takeover_schedule_test.cc
@@ -141,6 +141,25 @@
   });
 }
 
+// Guards against work that is started while it still runs on a silent backend server of the pool in
+// which its queue was before.
+TEST(FleetTakeoverSchedule, QueuesMoveBetweenPoolsWhileOwnersChangeAndServersAreCutOff) {
+  FleetSim::Settings settings;
+  settings.faults = {0.02, 0.02, 0.02, 0.02};
+  RunSeeds(settings, [](FleetSim& sim) {
+    sim.MoveQueue(sim.Draw(2), sim.Draw(2));
+    sim.At(sim.now() + sim.Draw(3000), [&sim] { CutSome(sim); });
+    sim.At(sim.now() + 500 + sim.Draw(3000), [&sim] {
+      const BackendId id = AnyBackend(sim);
+      sim.Trace(-1, "cut off " + id.str());
+      sim.backends.at(id).disconnected = true;
+      sim.At(sim.now() + 1000 + sim.Draw(6000),
+             [&sim, id] { sim.backends.at(id).disconnected = false; });
+    });
+    sim.At(sim.now() + 1000 + sim.Draw(3000), [&sim] { KillOwner(sim); });
+  });
+}
+
 // Guards against work that is started while it still runs on a silent backend server: the owner
 // wrote when its lease ends by the store's clock, which it knew from a reply that took long, and
 // the time was too early by that.
