Long-running tasks reserve servers only where they can have room

Cause: in each round of placement, each long-running step with a task that has no place reserved the emptiest server, also if the task could never be placed there, and each step one of its own.

A server is reserved only if the task will have room there beside what does not end by itself, and label, limit and policy allow it. Steps share a reserved server.

Ruled out: upper limits and budgets; the job was a candidate in each round, and all servers were passed over as reserved.

--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -87,6 +87,8 @@
   // budget.
   std::optional<int> unavailable_budget;
 
+  // Whether its tasks may keep their capacity for any length of time.
+  [[nodiscard]] bool IsOpenEnded() const noexcept { return long_running || best_effort; }
   // The capacity that one task reserves on a backend server.
   [[nodiscard]] Resources Charge() const noexcept {
     Resources charge = per_task;
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -49,6 +49,7 @@
   ref.task->disturbed_since.reset();
   backend.tasks.insert(key);
   backend.used += ref.spec->Charge();
+  if (ref.spec->IsOpenEnded()) backend.open_ended_use += ref.spec->Charge();
   backend.long_running_tasks += ref.spec->long_running ? 1 : 0;
   backend.serving_tasks += ref.spec->latency_target.count() > 0 ? 1 : 0;
   backend.best_effort_tasks += ref.spec->best_effort ? 1 : 0;
@@ -61,6 +62,7 @@
     BackendEntry& backend = *task.backend;
     backend.tasks.erase(key);
     backend.used -= ref.spec->Charge();
+    if (ref.spec->IsOpenEnded()) backend.open_ended_use -= ref.spec->Charge();
     backend.long_running_tasks -= ref.spec->long_running ? 1 : 0;
     backend.serving_tasks -= ref.spec->latency_target.count() > 0 ? 1 : 0;
     backend.best_effort_tasks -= ref.spec->best_effort ? 1 : 0;
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -185,15 +185,9 @@
     const Resources free = FreeOn(*it);
     if (it->reserved) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
-    if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
     Resources need = charge;
     if (const auto more = planned.find(it); more != planned.end()) need += more->second;
-    if (!need.FitsIn(free)) continue;
-    if (spec.per_server_limit > 0) {
-      const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
-                                      [&](const TaskState& other) { return other.backend == it; });
-      if (here >= spec.per_server_limit) continue;
-    }
+    if (!need.FitsIn(free) || !MayHold(spec, step, *it)) continue;
     const std::int64_t suitability = Suitability(*it, spec, step, task);
     const std::int64_t score = suitability + Fullness(*it);
     if (best == nullptr || score > best_score) {
@@ -320,7 +314,7 @@
   ++placement_work.rounds;
   placement_work.candidates += candidates.size();
   for (const Candidate& it : candidates) PlaceStep(it);
-  for (auto& [id, backend] : backends) backend->reserved = false;
+  for (auto& [id, backend] : backends) backend->reserved.reset();
 }
 
 void Dispatcher::Impl::PlaceStep(const Candidate& candidate) {
@@ -340,15 +334,7 @@
     BackendEntry* backend = PickToStart(*queue, spec, step, task, {});
     if (backend == nullptr) {
       if (queue->advice) RequestAdvice(candidate, *queue);
-      if (candidate.tier != kLongRunningTier) return;
-      // Reserves the emptiest backend server; otherwise smaller work would take each gap first.
-      BackendEntry* emptiest = nullptr;
-      for (const FreeServer& server : ServersOf(queue->pool).usable) {
-        BackendEntry* it = server.backend;
-        if (it->reserved || it->best_effort_tasks > 0) continue;
-        if (emptiest == nullptr || it->used.cpu_millis < emptiest->used.cpu_millis) emptiest = it;
-      }
-      if (emptiest != nullptr) emptiest->reserved = true;
+      if (candidate.tier == kLongRunningTier) Reserve(*queue, spec, step);
       return;
     }
     const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
@@ -356,6 +342,42 @@
   }
 }
 
+bool Dispatcher::Impl::MayHold(const StepSpec& spec, const StepState& step,
+                               const BackendEntry& backend) {
+  if (!spec.required_label.empty() && !HasLabel(backend.report, spec.required_label)) return false;
+  if (spec.per_server_limit == 0) return true;
+  const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
+                                  [&](const TaskState& it) { return it.backend == &backend; });
+  return here < spec.per_server_limit;
+}
+
+// Keeps shorter work away from one backend server until a long-running task has room there;
+// otherwise smaller work would take each gap first. Steps share a server that will have room for
+// the tasks of all of them.
+void Dispatcher::Impl::Reserve(const QueuePolicy& queue, const StepSpec& spec,
+                               const StepState& step) {
+  const Resources charge = spec.Charge();
+  const auto is_better = [](const BackendEntry& a, const BackendEntry& b) {
+    if (a.reserved.has_value() != b.reserved.has_value()) return a.reserved.has_value();
+    return a.used.cpu_millis < b.used.cpu_millis;
+  };
+  BackendEntry* best = nullptr;
+  for (const FreeServer& server : ServersOf(queue.pool).usable) {
+    BackendEntry* it = server.backend;
+    if (best != nullptr && !is_better(*it, *best)) continue;
+    const Resources room = it->report.capacity - it->open_ended_use;
+    if (!(charge + it->reserved.value_or(Resources{})).FitsIn(room)) continue;
+    if (IsDisturbed(spec, *it) || IsRefused(step, *it) || !MayHold(spec, step, *it)) continue;
+    best = it;
+  }
+  if (best != nullptr) best->reserved = charge + best->reserved.value_or(Resources{});
+}
+
+bool Dispatcher::Impl::IsRefused(const StepState& step, const BackendEntry& backend) {
+  const auto it = step.advice.find(backend.report.id);
+  return it != step.advice.end() && it->second.ticket.empty();
+}
+
 bool Dispatcher::Impl::HasValidTicket(const StepState& step, const BackendEntry& backend) const {
   const auto it = step.advice.find(backend.report.id);
   return it != step.advice.end() && !it->second.ticket.empty() &&
@@ -374,9 +396,9 @@
     if (order.backends.size() >= kAdvicePerCall) break;
     if (it->reserved || !spec.Charge().FitsIn(FreeOn(*it))) continue;
     if (!spec.required_label.empty() && !HasLabel(it->report, spec.required_label)) continue;
-    const auto known = step.advice.find(it->report.id);
-    const bool refused = known != step.advice.end() && known->second.ticket.empty();
-    if (!refused && !HasValidTicket(step, *it)) order.backends.push_back(it->report.id);
+    if (!IsRefused(step, *it) && !HasValidTicket(step, *it)) {
+      order.backends.push_back(it->report.id);
+    }
   }
   if (order.backends.empty()) return;
   advice_in_flight = true;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -147,6 +147,8 @@
   bool avoided = false;
   bool suspect_reported = false;
   Resources used;
+  // The part of it that long-running and best-effort tasks use, whose ends cannot be foreseen.
+  Resources open_ended_use;
   std::set<TaskKey> tasks;
   std::map<std::pair<TaskKey, RunNumber>, OrphanRun> orphans;
   int long_running_tasks = 0;
@@ -190,8 +192,9 @@
   // Jobs with failed runs since the last successful run.
   std::set<JobId> failed_jobs;
   MonotonicTime penalized_until;
-  // Reserved for a long-running task in the present placement round.
-  bool reserved = false;
+  // What long-running tasks without room wait for here, in the present placement round. Other work
+  // is placed elsewhere.
+  std::optional<Resources> reserved;
 
   // Nothing runs there and all ends have been written, so that no result is lost with the server.
   [[nodiscard]] bool IsSettled() const { return !HasRuns() && unacknowledged.empty(); }
@@ -334,6 +337,12 @@
   void PlaceStep(const Candidate& candidate);
   // Whether the policy's ticket for the step on the backend server is valid.
   [[nodiscard]] bool HasValidTicket(const StepState& step, const BackendEntry& backend) const;
+  // Whether the policy has refused the step on the backend server for good.
+  [[nodiscard]] static bool IsRefused(const StepState& step, const BackendEntry& backend);
+  // Whether the label and the step's limit allow a further task of it on the backend server.
+  [[nodiscard]] static bool MayHold(const StepSpec& spec, const StepState& step,
+                                    const BackendEntry& backend);
+  void Reserve(const QueuePolicy& queue, const StepSpec& spec, const StepState& step);
   void RequestAdvice(const Candidate& candidate, const QueuePolicy& queue);
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
   BackendEntry* Pick(const QueuePolicy& queue, const StepSpec& spec, const StepState& step,
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -347,6 +347,114 @@
   CHECK(starts[2].backend == BackendId("b2"));
 }
 
+// Guards against ordinary work that never starts: long-running tasks that had no place on any
+// server reserved all of them in each round.
+TEST(Dispatcher, LongRunningTasksThatCanBePlacedNowhereReserveNoServer) {
+  AddBackend("b1");
+  AddBackend("b2");
+  StepSpec apart = Step(3, 500);
+  apart.long_running = true;
+  apart.per_server_limit = 1;
+  StepSpec labelled = Step(1, 500);
+  labelled.long_running = true;
+  labelled.required_label = "none";
+  StepSpec large = Step(1, 7500);
+  large.long_running = true;
+  AddJob("j1", {apart});
+  AddJob("j2", {apart});
+  Advance(300);
+  LONGS_EQUAL(4, starts.size());
+  AddJob("j3", {labelled});
+  // The long-running tasks leave it too little room.
+  AddJob("j4", {large});
+  AddJob("j5", {Step(2, 1000)});
+  Advance(500);
+  LONGS_EQUAL(6, starts.size());
+  CHECK(starts[4].task.job == JobId("j5"));
+}
+
+// A serving task waits for a server without best-effort tasks, but reserves none that has one.
+TEST(Dispatcher, AServingTaskDoesNotReserveAServerWithABestEffortTask) {
+  AddBackend("b1");
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.long_running = true;
+  best_effort.best_effort = true;
+  AddJob("j1", {best_effort});
+  Advance(300);
+  StepSpec serving = Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = Millis(100);
+  AddJob("j2", {serving});
+  AddJob("j3", {Step(1, 1000)});
+  Advance(500);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].task.job == JobId("j3"));
+}
+
+// Shorter work takes the gaps of other servers only.
+TEST(Dispatcher, ALongRunningTaskReservesAServerThatWillHaveRoomForIt) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(2, 6000)});
+  Advance(300);
+  LONGS_EQUAL(2, starts.size());
+  StepSpec large = Step(1, 5000);
+  large.long_running = true;
+  AddJob("j2", {large});
+  AddJob("j3", {Step(4, 1000)});
+  Advance(500);
+  // Two on one server; the other one is reserved.
+  LONGS_EQUAL(4, starts.size());
+  CHECK(starts[2].backend == starts[3].backend);
+  const StartOrder& ended = starts[0].backend == starts[2].backend ? starts[1] : starts[0];
+  const BackendId reserved = ended.backend;
+  EndRun(ended, RunEnd::kDone);
+  Advance(500);
+  const auto it = std::find_if(starts.begin(), starts.end(),
+                               [](const auto& order) { return order.task.job == JobId("j2"); });
+  CHECK(it != starts.end());
+  CHECK(it->backend == reserved);
+}
+
+// Guards against the same by many small steps that each reserve a server of their own.
+TEST(Dispatcher, LongRunningStepsShareAReservedServer) {
+  for (const char* it : {"b1", "b2", "b3"}) AddBackend(it);
+  AddJob("j1", {Step(3, 7600)});
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  StepSpec small = Step(1, 1000);
+  small.long_running = true;
+  for (const char* it : {"j2", "j3", "j4"}) AddJob(it, {small});
+  AddJob("j5", {Step(2, 300)});
+  Advance(500);
+  LONGS_EQUAL(5, starts.size());
+}
+
+// A server for which the policy has refused the step is not reserved, one without advice is.
+TEST(Dispatcher, AServerThatThePolicyRefusesIsNotReserved) {
+  advice_policy = AdvicePolicy{Millis(10), Millis(1), Millis(1000)};
+  MakeDispatcher(1);
+  AddBackend("b1");
+  StepSpec step = Step(1, 5000);
+  step.long_running = true;
+  AddJob("j1", {step});
+  Advance(100);
+  LONGS_EQUAL(1, advice.size());
+  AdviceReply refusal;
+  refusal.complete = true;
+  refusal.validity = Millis(1000);
+  dispatcher->OnAdvice(advice[0], refusal, Now());
+  AddJob("j2", {Step(1, 1000)});
+  Advance(200);
+  LONGS_EQUAL(2, advice.size());
+  AdviceReply permission = refusal;
+  permission.tickets[BackendId("b1")] = "ticket";
+  dispatcher->OnAdvice(advice[1], permission, Now());
+  Advance(200);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(starts[0].task.job == JobId("j2"));
+}
+
 TEST(Dispatcher, StartsATimedJobWhenItIsDue) {
   AddBackend("b1");
   AddTimedJob("j1", 2000, 3000, std::nullopt);
