Gangs spread over servers by the limit of their step, and reserve servers

Cause: each member was planned for the fullest server without counting the members planned there, and the plan was given up beyond the limit. Beside it: a long-running gang reserved no server, so shorter work took each gap first.

The plan counts members by server, for their room and for the limit. A long-running gang without room reserves servers for all of its members, if all of them will have room.

--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -44,6 +44,9 @@
   }
   friend Resources operator+(Resources a, const Resources& b) noexcept { return a += b; }
   friend Resources operator-(Resources a, const Resources& b) noexcept { return a -= b; }
+  friend Resources operator*(const Resources& a, int n) noexcept {
+    return {a.cpu_millis * n, a.memory_mib * n, a.accelerators * n};
+  }
   // Whether every component is at most that of `available`.
   [[nodiscard]] bool FitsIn(const Resources& available) const noexcept {
     return cpu_millis <= available.cpu_millis && memory_mib <= available.memory_mib &&
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -73,6 +73,12 @@
 
 constexpr auto kHasLessFree = [](const auto& a, const auto& b) { return a.free_cpu < b.free_cpu; };
 
+template <typename Plan>
+int PlannedOn(const Plan& plan, const BackendEntry& backend) {
+  const auto it = plan.find(&backend);
+  return it == plan.end() ? 0 : it->second;
+}
+
 bool IsWithin(std::int64_t use, std::int64_t limit) { return limit == 0 || use <= limit; }
 
 }  // namespace
@@ -157,16 +163,15 @@
 }
 
 BackendEntry* Dispatcher::Impl::PickToStart(const QueuePolicy& queue, const StepSpec& spec,
-                                            StepState& step, TaskState& task,
-                                            const std::map<BackendEntry*, Resources>& planned) {
-  BackendEntry* backend = Pick(queue, spec, step, task, planned);
+                                            StepState& step, TaskState& task, const Plan& plan) {
+  BackendEntry* backend = Pick(queue, spec, step, task, plan);
   if (backend == nullptr || !IsDisturbed(spec, *backend)) return backend;
   return AcceptsDisturbance(step, task) ? backend : nullptr;
 }
 
 BackendEntry* Dispatcher::Impl::Pick(const QueuePolicy& queue, const StepSpec& spec,
                                      const StepState& step, const TaskState& task,
-                                     const std::map<BackendEntry*, Resources>& planned) {
+                                     const Plan& plan) {
   PoolServers& servers = ServersOf(queue.pool);
   const Resources charge = spec.Charge();
   if (!charge.FitsIn(servers.largest_free)) return nullptr;
@@ -185,9 +190,9 @@
     const Resources free = FreeOn(*it);
     if (it->reserved) continue;
     if (queue.advice && !HasValidTicket(step, *it)) continue;
-    Resources need = charge;
-    if (const auto more = planned.find(it); more != planned.end()) need += more->second;
-    if (!need.FitsIn(free) || !MayHold(spec, step, *it)) continue;
+    const int planned = PlannedOn(plan, *it);
+    if (!(charge * (planned + 1)).FitsIn(free)) continue;
+    if (!MayHold(spec, step, *it, planned)) continue;
     const std::int64_t suitability = Suitability(*it, spec, step, task);
     const std::int64_t score = suitability + Fullness(*it);
     if (best == nullptr || score > best_score) {
@@ -334,7 +339,7 @@
     BackendEntry* backend = PickToStart(*queue, spec, step, task, {});
     if (backend == nullptr) {
       if (queue->advice) RequestAdvice(candidate, *queue);
-      if (candidate.tier == kLongRunningTier) Reserve(*queue, spec, step);
+      if (candidate.tier == kLongRunningTier) Reserve(*queue, spec, step, 1);
       return;
     }
     const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
@@ -343,34 +348,49 @@
 }
 
 bool Dispatcher::Impl::MayHold(const StepSpec& spec, const StepState& step,
-                               const BackendEntry& backend) {
+                               const BackendEntry& backend, int planned) {
   if (!spec.required_label.empty() && !HasLabel(backend.report, spec.required_label)) return false;
   if (spec.per_server_limit == 0) return true;
   const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
                                   [&](const TaskState& it) { return it.backend == &backend; });
-  return here < spec.per_server_limit;
+  return here + planned < spec.per_server_limit;
 }
 
-// Keeps shorter work away from one backend server until a long-running task has room there;
-// otherwise smaller work would take each gap first. Steps share a server that will have room for
-// the tasks of all of them.
+// Keeps shorter work away from backend servers until `count` long-running tasks have room there;
+// otherwise smaller work would take each gap first. Reserves nothing unless all of them will have
+// room. Steps share a server that will have room for the tasks of all of them.
 void Dispatcher::Impl::Reserve(const QueuePolicy& queue, const StepSpec& spec,
-                               const StepState& step) {
-  const Resources charge = spec.Charge();
-  const auto is_better = [](const BackendEntry& a, const BackendEntry& b) {
-    if (a.reserved.has_value() != b.reserved.has_value()) return a.reserved.has_value();
+                               const StepState& step, int count) {
+  Plan plan;
+  const auto room_on = [&](const BackendEntry& backend) {
+    return backend.report.capacity - backend.open_ended_use -
+           backend.reserved.value_or(Resources{}) - spec.Charge() * PlannedOn(plan, backend);
+  };
+  const auto is_reserved = [&](const BackendEntry& backend) {
+    return backend.reserved.has_value() || PlannedOn(plan, backend) > 0;
+  };
+  const auto is_better = [&](const BackendEntry& a, const BackendEntry& b) {
+    if (is_reserved(a) != is_reserved(b)) return is_reserved(a);
     return a.used.cpu_millis < b.used.cpu_millis;
   };
-  BackendEntry* best = nullptr;
+  for (int n = 0; n < count; ++n) {
+    const BackendEntry* best = nullptr;
+    for (const FreeServer& server : ServersOf(queue.pool).usable) {
+      const BackendEntry* it = server.backend;
+      if (best != nullptr && !is_better(*it, *best)) continue;
+      if (!spec.Charge().FitsIn(room_on(*it))) continue;
+      if (IsDisturbed(spec, *it) || IsRefused(step, *it)) continue;
+      if (MayHold(spec, step, *it, PlannedOn(plan, *it))) best = it;
+    }
+    if (best == nullptr) return;
+    ++plan[best];
+  }
   for (const FreeServer& server : ServersOf(queue.pool).usable) {
     BackendEntry* it = server.backend;
-    if (best != nullptr && !is_better(*it, *best)) continue;
-    const Resources room = it->report.capacity - it->open_ended_use;
-    if (!(charge + it->reserved.value_or(Resources{})).FitsIn(room)) continue;
-    if (IsDisturbed(spec, *it) || IsRefused(step, *it) || !MayHold(spec, step, *it)) continue;
-    best = it;
+    const int planned = PlannedOn(plan, *it);
+    if (planned == 0) continue;
+    it->reserved = it->reserved.value_or(Resources{}) + spec.Charge() * planned;
   }
-  if (best != nullptr) best->reserved = charge + best->reserved.value_or(Resources{});
 }
 
 bool Dispatcher::Impl::IsRefused(const StepState& step, const BackendEntry& backend) {
@@ -421,17 +441,16 @@
     if (it.checkpoint > checkpoint) checkpoint = it.checkpoint;
   }
   if (!IsWithinLimit(job.stored.team, sum)) return;
-  std::map<BackendEntry*, Resources> planned;
+  Plan plan;
   std::vector<BackendEntry*> places;
-  std::map<BackendEntry*, int> members;
   for (TaskState& it : step.tasks) {
-    BackendEntry* backend = PickToStart(queue, spec, step, it, planned);
+    BackendEntry* backend = PickToStart(queue, spec, step, it, plan);
     if (backend == nullptr) {
       if (queue.advice) RequestAdvice(candidate, queue);
+      if (candidate.tier == kLongRunningTier) Reserve(queue, spec, step, spec.count);
       return;
     }
-    if (spec.per_server_limit > 0 && ++members[backend] > spec.per_server_limit) return;
-    planned[backend] += spec.Charge();
+    ++plan[backend];
     places.push_back(backend);
   }
   for (int index = 0; index < spec.count; ++index) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -327,6 +327,8 @@
     // No usable server has more than this free, component by component.
     Resources largest_free;
   };
+  // The number of members of a gang that are to be placed on each backend server.
+  using Plan = std::map<const BackendEntry*, int>;
   PoolServers& ServersOf(const PoolId& pool);
   // Keeps the order of the pool's servers after `backend`, which had `free_cpu` before, got a task.
   void UpdateFree(BackendEntry& backend, std::int64_t free_cpu);
@@ -339,21 +341,22 @@
   [[nodiscard]] bool HasValidTicket(const StepState& step, const BackendEntry& backend) const;
   // Whether the policy has refused the step on the backend server for good.
   [[nodiscard]] static bool IsRefused(const StepState& step, const BackendEntry& backend);
-  // Whether the label and the step's limit allow a further task of it on the backend server.
+  // Whether the label and the step's limit allow a further task of it on the backend server, beside
+  // the `planned` ones.
   [[nodiscard]] static bool MayHold(const StepSpec& spec, const StepState& step,
-                                    const BackendEntry& backend);
-  void Reserve(const QueuePolicy& queue, const StepSpec& spec, const StepState& step);
+                                    const BackendEntry& backend, int planned);
+  void Reserve(const QueuePolicy& queue, const StepSpec& spec, const StepState& step, int count);
   void RequestAdvice(const Candidate& candidate, const QueuePolicy& queue);
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
   BackendEntry* Pick(const QueuePolicy& queue, const StepSpec& spec, const StepState& step,
-                     const TaskState& task, const std::map<BackendEntry*, Resources>& planned);
+                     const TaskState& task, const Plan& plan);
   // Whether a task of the step and those on the backend server are of the kinds that disturb each
   // other: best-effort tasks and serving ones.
   [[nodiscard]] static bool IsDisturbed(const StepSpec& spec, const BackendEntry& backend);
   // The backend server on which the task may start now. One on which best-effort and serving tasks
   // would disturb each other counts only after the task has waited for another one.
   BackendEntry* PickToStart(const QueuePolicy& queue, const StepSpec& spec, StepState& step,
-                            TaskState& task, const std::map<BackendEntry*, Resources>& planned);
+                            TaskState& task, const Plan& plan);
   // Called when only disturbed backend servers have room. Whether the task has waited for another
   // one for long enough.
   bool AcceptsDisturbance(StepState& step, TaskState& task) const;
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -177,6 +177,57 @@
   CHECK(starts[0].run == starts[2].run);
 }
 
+// Guards against gangs that never start: members were planned for the fullest server beyond the
+// limit of their step, and the plan was given up.
+TEST(Dispatcher, AGangSpreadsOverServersByTheLimitOfItsStep) {
+  AddBackend("b1");
+  AddBackend("b2");
+  StepSpec step = Step(4, 1000);
+  step.gang = true;
+  step.per_server_limit = 2;
+  AddJob("j1", {step});
+  Advance(300);
+  LONGS_EQUAL(4, starts.size());
+  LONGS_EQUAL(2, std::count_if(starts.begin(), starts.end(),
+                               [](const auto& it) { return it.backend == BackendId("b1"); }));
+}
+
+// Guards against long-running gangs that never start because shorter work takes each gap first.
+TEST(Dispatcher, ALongRunningGangReservesServersForAllOfItsMembers) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(2, 6000)});
+  Advance(300);
+  StepSpec gang = Step(2, 5000);
+  gang.gang = true;
+  gang.long_running = true;
+  AddJob("j2", {gang});
+  AddJob("j3", {Step(2, 2000)});
+  Advance(300);
+  LONGS_EQUAL(2, starts.size());
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(300);
+  // One member would have room.
+  LONGS_EQUAL(2, starts.size());
+  EndRun(starts[1], RunEnd::kDone);
+  Advance(300);
+  LONGS_EQUAL(6, starts.size());
+  CHECK(starts[2].task.job == JobId("j2"));
+  CHECK(starts[3].task.job == JobId("j2"));
+}
+
+// A gang of which a member can never have room reserves nothing.
+TEST(Dispatcher, ALongRunningGangWithoutRoomForAllReservesNoServer) {
+  AddBackend("b1");
+  StepSpec gang = Step(2, 5000);
+  gang.gang = true;
+  gang.long_running = true;
+  AddJob("j1", {gang});
+  AddJob("j2", {Step(1, 1000)});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+}
+
 TEST(Dispatcher, DrainingBackendServersGetNothingNew) {
   AddBackend("b1");
   Advance(100);
