A reserved server stays reserved, and long-running tasks without a place are logged

Cause: the server that is reserved for a long-running task was chosen anew in each round by its use. On a busy pool another one was reserved each time, and short work filled the one before, so that none got enough room.

Servers that were reserved in the round before are preferred.

Test: Dispatcher.AReservedServerStaysReserved, red without the preference.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -93,6 +93,8 @@
       return Event::kTaskLost;
     case DecisionKind::kTaskStopped:
       return Event::kTaskStopped;
+    case DecisionKind::kTaskWaiting:
+      return Event::kTaskWaiting;
     case DecisionKind::kBackendSeen:
       return Event::kBackendSeen;
     case DecisionKind::kBackendSuspect:
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -121,6 +121,7 @@
   kTaskEnded,
   kTaskLost,
   kTaskStopped,
+  kTaskWaiting,
   kBackendSeen,
   kBackendSuspect,
   kBackendGone,
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -27,6 +27,9 @@
 constexpr int kOverShareTier = 3;
 constexpr int kBestEffortTier = 4;
 
+// Interval of logging that a long-running step has a task without a place.
+constexpr Millis kWaitingReportInterval{2000};
+
 // Maximum number of backend servers in one advice call, which takes time for each.
 constexpr std::size_t kAdvicePerCall = 30;
 // Time for which a task waits for a backend server that has no serving tasks, or no best-effort
@@ -319,7 +322,10 @@
   ++placement_work.rounds;
   placement_work.candidates += candidates.size();
   for (const Candidate& it : candidates) PlaceStep(it);
-  for (auto& [id, backend] : backends) backend->reserved.reset();
+  for (auto& [id, backend] : backends) {
+    backend->was_reserved = backend->reserved.has_value();
+    backend->reserved.reset();
+  }
 }
 
 void Dispatcher::Impl::PlaceStep(const Candidate& candidate) {
@@ -335,9 +341,13 @@
   for (int index = 0; index < spec.count; ++index) {
     TaskState& task = step.tasks[index];
     if (!MayStart(task, runs_known)) continue;
-    if (!IsWithinLimit(job.stored.team, spec.per_task)) return;
+    if (!IsWithinLimit(job.stored.team, spec.per_task)) {
+      ReportWaiting(candidate, *queue, index);
+      return;
+    }
     BackendEntry* backend = PickToStart(*queue, spec, step, task, {});
     if (backend == nullptr) {
+      ReportWaiting(candidate, *queue, index);
       if (queue->advice) RequestAdvice(candidate, *queue);
       if (candidate.tier == kLongRunningTier) Reserve(*queue, spec, step, 1);
       return;
@@ -371,6 +381,8 @@
   };
   const auto is_better = [&](const BackendEntry& a, const BackendEntry& b) {
     if (is_reserved(a) != is_reserved(b)) return is_reserved(a);
+    // Changing the server in each round would free room on none of them.
+    if (a.was_reserved != b.was_reserved) return a.was_reserved;
     return a.used.cpu_millis < b.used.cpu_millis;
   };
   for (int n = 0; n < count; ++n) {
@@ -393,6 +405,41 @@
   }
 }
 
+void Dispatcher::Impl::ReportWaiting(const Candidate& candidate, const QueuePolicy& queue,
+                                     int index) {
+  const JobEntry& job = *candidate.job;
+  const StepSpec& spec = job.stored.spec.steps[candidate.step];
+  StepState& step = candidate.occurrence->steps[candidate.step];
+  if (!spec.long_running || now_ < step.waiting_reported + kWaitingReportInterval) return;
+  step.waiting_reported = now_;
+  std::map<std::string, int> servers;
+  for (const auto& [id, backend] : backends) {
+    const BackendEntry& it = *backend;
+    if (it.report.pool != queue.pool) continue;
+    const char* reason = "free";
+    if (!IsUsable(it)) {
+      reason = "unusable";
+    } else if (it.reserved) {
+      reason = "reserved";
+    } else if (queue.advice && !HasValidTicket(step, it)) {
+      reason = "without-ticket";
+    } else if (!spec.Charge().FitsIn(FreeOn(it))) {
+      reason = "full";
+    } else if (!MayHold(spec, step, it, 0)) {
+      reason = "excluded";
+    } else if (IsDisturbed(spec, it)) {
+      reason = "disturbed";
+    }
+    ++servers[reason];
+  }
+  std::string detail = "pool=" + queue.pool.str();
+  if (!IsWithinLimit(job.stored.team, spec.per_task)) detail += " team above its upper limit";
+  for (const auto& [reason, n] : servers)
+    detail += " " + std::string(reason) + "=" + std::to_string(n);
+  const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
+  Report(DecisionKind::kTaskWaiting, key.job, key.str(), BackendId(), RunNumber(), detail);
+}
+
 bool Dispatcher::Impl::IsRefused(const StepState& step, const BackendEntry& backend) {
   const auto it = step.advice.find(backend.report.id);
   return it != step.advice.end() && it->second.ticket.empty();
@@ -446,6 +493,7 @@
   for (TaskState& it : step.tasks) {
     BackendEntry* backend = PickToStart(queue, spec, step, it, plan);
     if (backend == nullptr) {
+      ReportWaiting(candidate, queue, static_cast<int>(places.size()));
       if (queue.advice) RequestAdvice(candidate, queue);
       if (candidate.tier == kLongRunningTier) Reserve(queue, spec, step, spec.count);
       return;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -95,6 +95,8 @@
   std::map<BackendId, Advice> advice;
   int done = 0;
   bool ready = false;
+  // When it was last reported that a long-running task of the step has no place.
+  MonotonicTime waiting_reported;
 };
 
 struct OccurrenceState {
@@ -195,6 +197,8 @@
   // What long-running tasks without room wait for here, in the present placement round. Other work
   // is placed elsewhere.
   std::optional<Resources> reserved;
+  // Reserved in the round before.
+  bool was_reserved = false;
 
   // Nothing runs there and all ends have been written, so that no result is lost with the server.
   [[nodiscard]] bool IsSettled() const { return !HasRuns() && unacknowledged.empty(); }
@@ -345,6 +349,8 @@
   // the `planned` ones.
   [[nodiscard]] static bool MayHold(const StepSpec& spec, const StepState& step,
                                     const BackendEntry& backend, int planned);
+  // Logs why a long-running task has no place, not more often than once in kWaitingReportInterval.
+  void ReportWaiting(const Candidate& candidate, const QueuePolicy& queue, int index);
   void Reserve(const QueuePolicy& queue, const StepSpec& spec, const StepState& step, int count);
   void RequestAdvice(const Candidate& candidate, const QueuePolicy& queue);
   void PlaceGang(const Candidate& candidate, const QueuePolicy& queue);
--- a/coordination/tests/dispatcher_test.cc
+++ b/coordination/tests/dispatcher_test.cc
@@ -467,6 +467,34 @@
   CHECK(it->backend == reserved);
 }
 
+// Guards against long-running tasks that wait without end on a busy pool: another server was
+// reserved in each round, so that none became free.
+TEST(Dispatcher, AReservedServerStaysReserved) {
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(1, 6000)});
+  AddJob("j2", {Step(2, 3500)});
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  const BackendId reserved = starts[0].backend;
+  CHECK(starts[1].backend != reserved && starts[2].backend != reserved);
+  StepSpec large = Step(1, 5000);
+  large.long_running = true;
+  AddJob("j3", {large});
+  Advance(300);
+  // The other server is used less from now on.
+  EndRun(starts[1], RunEnd::kDone);
+  AddJob("j4", {Step(1, 2000)});
+  Advance(300);
+  LONGS_EQUAL(4, starts.size());
+  CHECK(starts[3].backend == starts[2].backend);
+  EndRun(starts[0], RunEnd::kDone);
+  Advance(300);
+  LONGS_EQUAL(5, starts.size());
+  CHECK(starts[4].task.job == JobId("j3"));
+  CHECK(starts[4].backend == reserved);
+}
+
 // Guards against the same by many small steps that each reserve a server of their own.
 TEST(Dispatcher, LongRunningStepsShareAReservedServer) {
   for (const char* it : {"b1", "b2", "b3"}) AddBackend(it);
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -70,6 +70,7 @@
   kTaskEnded = 831,
   kTaskLost = 832,
   kTaskStopped = 833,
+  kTaskWaiting = 834,
   kBackendSeen = 840,
   kBackendSuspect = 841,
   kBackendGone = 842,
