The pace of best-effort tasks is not taken for granted

Since best-effort and serving tasks may share a server, three faults of their pace matter, found by reading: - a best-effort task that was paused stood still for good when the last serving task beside it had ended; - an order of a pace without a reply was taken for carried out, so that a serving task could stay above its target; - a new owner took each task that it found running for one at full speed, and its load for zero until the next list.

The pace is unknown after a lost order and for tasks of an earlier owner, and is ordered again with the next list; without serving tasks it is full speed.

Tests: three new ones of DispatcherRecovery, red before (3 of 3).

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -242,6 +242,7 @@
 
   void OnStart(const StartOrder& order, const OrderReply& reply, MonotonicTime now);
   void OnStop(const StopOrder& order, const OrderReply& reply, MonotonicTime now);
+  void OnPace(const PaceOrder& order, const OrderReply& reply, MonotonicTime now);
   void OnAdvice(const AdviceOrder& order, const AdviceReply& reply, MonotonicTime now);
   // `sent` is when the poll was sent.
   void OnPoll(const PollOrder& order, const PollReply& reply, MonotonicTime sent,
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -245,7 +245,10 @@
     task.highest_run = std::max(task.highest_run, row.run);
     task.ordered_at = task.last_progress = task.confirmed_at = now_;
     task.located = true;
+    // An earlier owner may have paced it.
+    task.pace = kUnknownPace;
     task.percent = row.percent;
+    task.load = row.load;
     task.checkpoint = row.checkpoint;
     ref.job->any_started = true;
     Report(DecisionKind::kTaskStarted, row.task.job, row.task.str(), backend.report.id, row.run,
@@ -444,6 +447,15 @@
   }
 }
 
+void Dispatcher::OnPace(const PaceOrder& order, const OrderReply& reply, MonotonicTime now) {
+  impl_->now_ = now;
+  const BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
+  if (backend == nullptr || reply.outcome == OrderOutcome::kDone) return;
+  const TaskRef ref = impl_->Find(order.task);
+  if (!ref || ref.task->backend != backend || ref.task->run != order.run) return;
+  if (ref.task->pace == order.percent) ref.task->pace = kUnknownPace;
+}
+
 void Dispatcher::OnStop(const StopOrder& order, const OrderReply& reply, MonotonicTime now) {
   impl_->now_ = now;
   BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -234,7 +234,7 @@
 
 // Paces best-effort tasks beside a serving task by how near its tail latency is to the target.
 void Dispatcher::Impl::PaceBestEffortTasks(BackendEntry& backend) {
-  if (backend.serving_tasks == 0 || backend.best_effort_tasks == 0 || !hooks.pace) return;
+  if (backend.best_effort_tasks == 0 || !hooks.pace) return;
   double worst = 0;
   for (const TaskKey& key : backend.tasks) {
     const TaskRef ref = Find(key);
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -29,6 +29,7 @@
 constexpr Millis kPenaltyTime{5000};
 // Pace of a task at full speed, and readiness of a long-running task that is ready.
 constexpr int kFullPercent = 100;
+constexpr int kUnknownPace = -1;
 // Delays before an order without a reply is repeated, short compared to the timeout of an order.
 constexpr Millis kStartRetry{250};
 constexpr Millis kStopRetry{300};
@@ -74,7 +75,8 @@
   bool stop_confirmed = false;
   // Started or found running by this owner, so that no run of an earlier owner can exist unnoticed.
   bool located = false;
-  int pace = 100;
+  // The pace that was ordered last; kUnknownPace if that order may not have been carried out.
+  int pace = kFullPercent;
   // Since when only backend servers on which best-effort and serving tasks would disturb each other
   // have room for it.
   std::optional<MonotonicTime> disturbed_since;
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -147,7 +147,10 @@
                         }));
   };
   hooks.pace = [this](const PaceOrder& order) {
-    ports.backends.Pace(order, lease.permit(), [](const OrderReply&) {});
+    ports.backends.Pace(order, lease.permit(),
+                        Guard<const OrderReply&>([this, order](const OrderReply& it) {
+                          dispatcher->OnPace(order, it, ports.now());
+                        }));
   };
   if (ports.advice != nullptr) {
     hooks.advise = [this](const AdviceOrder& order) {
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -654,6 +654,74 @@
   LONGS_EQUAL(100, paces[1].percent);
 }
 
+// Guards against best-effort tasks that stand still for good once no serving task is beside them.
+TEST(DispatcherRecovery, ABestEffortTaskRunsOnWhenTheServingTaskHasEnded) {
+  MakeDispatcher(2);
+  StepSpec serving = Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = Millis(100);
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.best_effort = true;
+  AddJob("j1", {serving}, "", true);
+  AddJob("j2", {best_effort}, "", true);
+  auto& runs = running[BackendId("b1")];
+  runs.push_back({{JobId("j1"), 0, 0, 0}, RunNumber(3), "", 100, 80});
+  runs.push_back({{JobId("j2"), 0, 0, 0}, RunNumber(3), "", 10, 0});
+  AddBackend("b1");
+  Advance(300);
+  LONGS_EQUAL(1, paces.size());
+  LONGS_EQUAL(0, paces[0].percent);
+  dispatcher->CancelJob(JobId("j1"), Now());
+  Advance(100);
+  runs.erase(runs.begin());
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(3), RunEnd::kStopped, ""});
+  Advance(300);
+  LONGS_EQUAL(2, paces.size());
+  LONGS_EQUAL(100, paces[1].percent);
+}
+
+// Guards against the same after a change of owner, and against serving tasks above their target:
+// the pace that an earlier owner ordered is not known.
+TEST(DispatcherRecovery, ANewOwnerOrdersThePaceOfBestEffortTasks) {
+  MakeDispatcher(2);
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.best_effort = true;
+  AddJob("j1", {best_effort}, "", true);
+  running[BackendId("b1")].push_back({{JobId("j1"), 0, 0, 0}, RunNumber(3), "", 10, 0});
+  AddBackend("b1");
+  Advance(300);
+  LONGS_EQUAL(1, paces.size());
+  LONGS_EQUAL(100, paces[0].percent);
+  Advance(1000);
+  LONGS_EQUAL(1, paces.size());
+}
+
+// Guards against serving tasks above their target because an order was lost.
+TEST(DispatcherRecovery, RepeatsAPaceThatMayNotHaveBeenCarriedOut) {
+  MakeDispatcher(2);
+  StepSpec serving = Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = Millis(100);
+  StepSpec best_effort = Step(1, 1000);
+  best_effort.best_effort = true;
+  AddJob("j1", {serving}, "", true);
+  AddJob("j2", {best_effort}, "", true);
+  auto& runs = running[BackendId("b1")];
+  runs.push_back({{JobId("j1"), 0, 0, 0}, RunNumber(3), "", 100, 80});
+  runs.push_back({{JobId("j2"), 0, 0, 0}, RunNumber(3), "", 10, 0});
+  AddBackend("b1");
+  Advance(300);
+  LONGS_EQUAL(1, paces.size());
+  dispatcher->OnPace(paces[0], OrderReply{}, Now());
+  Advance(300);
+  LONGS_EQUAL(2, paces.size());
+  LONGS_EQUAL(0, paces[1].percent);
+  dispatcher->OnPace(paces[1], OrderReply{OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  Advance(300);
+  LONGS_EQUAL(2, paces.size());
+}
+
 TEST(DispatcherRecovery, RepeatsNoOccurrenceThatAnEarlierOwnerFinished) {
   AddBackend("b1");
   JobProgress progress;
