Room is kept for a long-running task while it is moved

Cause: tasks that leave servers due for maintenance were stopped when any server had room, each without regard to the others, and other work was placed there before the stop had ended.

The target keeps the room until the task starts there, ends or cannot use it; a server with such a promise is not idle.

Test: DispatcherRecovery.OneTaskAtATimeIsMovedToTheSameRoom, red without promises.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -278,7 +278,7 @@
     PoolId pool;
     int tasks = 0;
     int long_running_tasks = 0;
-    // Nothing runs there, and all ends have been written.
+    // Nothing runs there or is being moved there, and all ends have been written.
     bool settled = false;
     Resources used;
     Resources capacity;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -284,8 +284,8 @@
   const auto add = [&](const BackendEntry& backend, bool usable) {
     views.push_back({backend.report.id, backend.report.vm, backend.report.pool,
                      static_cast<int>(backend.tasks.size()), backend.long_running_tasks,
-                     backend.IsSettled(), backend.used, backend.report.capacity, usable,
-                     backend.evacuating, backend.avoided});
+                     backend.IsSettled() && backend.promised.empty(), backend.used,
+                     backend.report.capacity, usable, backend.evacuating, backend.avoided});
   };
   for (const auto& [id, backend] : impl_->backends) {
     const bool may_run = !backend->IsSettled() || impl_->roster_pending.count(id) > 0;
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -206,17 +206,25 @@
     if (queue == nullptr) continue;
     const bool allowed = backend.report.draining || BudgetAllowsStop(ref);
     if (!allowed) continue;
-    const BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
+    BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
     if (target == nullptr) continue;
     const bool urgent = backend.report.draining || backend.evacuating;
     if (!urgent && target->avoided) continue;
     if (IsDisturbed(*ref.spec, *target) && !(urgent && AcceptsDisturbance(*ref.step, *ref.task))) {
       continue;
     }
-    BeginStop(key, ref);
+    MoveTask(key, ref, *target);
   }
 }
 
+// Two tasks must not be stopped for the same room, as one of them would stay without a place.
+void Dispatcher::Impl::MoveTask(const TaskKey& key, const TaskRef& ref, BackendEntry& target) {
+  const std::int64_t free_cpu = FreeOn(target).cpu_millis;
+  if (!ref.spec->gang) Promise(key, *ref.task, *ref.spec, target);
+  UpdateFree(target, free_cpu);
+  BeginStop(key, ref);
+}
+
 void Dispatcher::Impl::SeparateBestEffortTasks(BackendEntry& backend) {
   if (backend.serving_tasks == 0 || backend.best_effort_tasks == 0) return;
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
@@ -226,9 +234,9 @@
     if (ref.task->phase != TaskPhase::kRunning || !ref.job->IsOpen()) continue;
     const QueuePolicy* queue = ref.job->queue;
     if (queue == nullptr || ref.spec->gang || !BudgetAllowsStop(ref)) continue;
-    const BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
+    BackendEntry* target = Pick(*queue, *ref.spec, *ref.step, *ref.task, {});
     if (target == nullptr || target->avoided || IsDisturbed(*ref.spec, *target)) continue;
-    BeginStop(key, ref);
+    MoveTask(key, ref, *target);
   }
 }
 
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -89,6 +89,7 @@
 Resources Dispatcher::Impl::FreeOn(const BackendEntry& backend) {
   Resources free = backend.report.capacity - backend.used;
   for (const auto& [run, orphan] : backend.orphans) free -= orphan.charge;
+  for (const auto& [task, charge] : backend.promised) free -= charge;
   return free;
 }
 
@@ -256,6 +257,7 @@
                                  RunNumber run) {
   TaskState& task = *ref.task;
   const std::int64_t free_cpu = FreeOn(backend).cpu_millis;
+  ReleasePromise(key, task);
   Charge(key, ref, backend);
   UpdateFree(backend, free_cpu);
   task.phase = TaskPhase::kStarting;
@@ -311,6 +313,7 @@
 void Dispatcher::Impl::Place() {
   if (!config) return;
   pool_servers_valid = false;
+  ReleaseUnneededPromises();
   UpdateInherited();
   std::vector<Candidate> candidates;
   CollectCandidates(candidates);
@@ -345,14 +348,18 @@
       ReportWaiting(candidate, *queue, index);
       return;
     }
-    BackendEntry* backend = PickToStart(*queue, spec, step, task, {});
+    const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
+    BackendEntry* backend = PromisedServer(*queue, step, key, task);
+    if (backend == nullptr) {
+      ReleasePromise(key, task);
+      backend = PickToStart(*queue, spec, step, task, {});
+    }
     if (backend == nullptr) {
       ReportWaiting(candidate, *queue, index);
       if (queue->advice) RequestAdvice(candidate, *queue);
       if (candidate.tier == kLongRunningTier) Reserve(*queue, spec, step, 1);
       return;
     }
-    const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
     StartTask(key, Find(key), *backend, NextRun(task));
   }
 }
@@ -361,11 +368,47 @@
                                const BackendEntry& backend, int planned) {
   if (!spec.required_label.empty() && !HasLabel(backend.report, spec.required_label)) return false;
   if (spec.per_server_limit == 0) return true;
-  const auto here = std::count_if(step.tasks.begin(), step.tasks.end(),
-                                  [&](const TaskState& it) { return it.backend == &backend; });
+  const auto here = std::count_if(step.tasks.begin(), step.tasks.end(), [&](const TaskState& it) {
+    return it.backend == &backend || it.promised_on == backend.report.id;
+  });
   return here + planned < spec.per_server_limit;
 }
 
+void Dispatcher::Impl::Promise(const TaskKey& key, TaskState& task, const StepSpec& spec,
+                               BackendEntry& target) {
+  task.promised_on = target.report.id;
+  target.promised[key] = spec.Charge();
+}
+
+void Dispatcher::Impl::ReleasePromise(const TaskKey& key, TaskState& task) {
+  if (task.promised_on.empty()) return;
+  if (BackendEntry* target = FindBackend(task.promised_on)) target->promised.erase(key);
+  task.promised_on = BackendId();
+}
+
+void Dispatcher::Impl::ReleaseUnneededPromises() {
+  for (auto& [id, backend] : backends) {
+    std::erase_if(backend->promised, [&, &target = id](const auto& it) {
+      const TaskRef ref = Find(it.first);
+      if (!ref || ref.task->promised_on != target) return true;
+      const TaskPhase phase = ref.task->phase;
+      if (phase == TaskPhase::kStopping || phase == TaskPhase::kWaiting) return false;
+      ref.task->promised_on = BackendId();
+      return true;
+    });
+  }
+}
+
+BackendEntry* Dispatcher::Impl::PromisedServer(const QueuePolicy& queue, const StepState& step,
+                                               const TaskKey& key, const TaskState& task) {
+  BackendEntry* backend = FindBackend(task.promised_on);
+  if (backend == nullptr || !IsUsable(*backend)) return nullptr;
+  if (queue.advice && !HasValidTicket(step, *backend)) return nullptr;
+  const auto promise = backend->promised.find(key);
+  if (promise == backend->promised.end()) return nullptr;
+  return promise->second.FitsIn(FreeOn(*backend) + promise->second) ? backend : nullptr;
+}
+
 // Keeps shorter work away from backend servers until `count` long-running tasks have room there;
 // otherwise smaller work would take each gap first. Reserves nothing unless all of them will have
 // room. Steps share a server that will have room for the tasks of all of them.
@@ -373,8 +416,9 @@
                                const StepState& step, int count) {
   Plan plan;
   const auto room_on = [&](const BackendEntry& backend) {
-    return backend.report.capacity - backend.open_ended_use -
-           backend.reserved.value_or(Resources{}) - spec.Charge() * PlannedOn(plan, backend);
+    Resources room = backend.report.capacity - backend.open_ended_use;
+    for (const auto& [task, promised] : backend.promised) room -= promised;
+    return room - backend.reserved.value_or(Resources{}) - spec.Charge() * PlannedOn(plan, backend);
   };
   const auto is_reserved = [&](const BackendEntry& backend) {
     return backend.reserved.has_value() || PlannedOn(plan, backend) > 0;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -80,6 +80,8 @@
   // Since when only backend servers on which best-effort and serving tasks would disturb each other
   // have room for it.
   std::optional<MonotonicTime> disturbed_since;
+  // Backend server that keeps room for it while it is moved there; empty for none.
+  BackendId promised_on;
   std::int64_t load = 0;
   // Where it last failed or made no progress.
   BackendId failed_at;
@@ -155,6 +157,8 @@
   Resources open_ended_use;
   std::set<TaskKey> tasks;
   std::map<std::pair<TaskKey, RunNumber>, OrphanRun> orphans;
+  // Tasks that are being moved here.
+  std::map<TaskKey, Resources> promised;
   int long_running_tasks = 0;
   int serving_tasks = 0;
   int best_effort_tasks = 0;
@@ -297,6 +301,8 @@
   void ExpireLeases();
   void StopStuckTasks(BackendEntry& backend);
   void Evacuate(BackendEntry& backend);
+  // Stops a long-running task, which then starts on `target`.
+  void MoveTask(const TaskKey& key, const TaskRef& ref, BackendEntry& target);
   void PaceBestEffortTasks(BackendEntry& backend);
   // Moves best-effort tasks that have no end away from serving tasks, to where they disturb none.
   void SeparateBestEffortTasks(BackendEntry& backend);
@@ -345,6 +351,15 @@
   void PlaceStep(const Candidate& candidate);
   // Whether the policy's ticket for the step on the backend server is valid.
   [[nodiscard]] bool HasValidTicket(const StepState& step, const BackendEntry& backend) const;
+  // Keeps room on `target` for a task that is stopped to be moved there.
+  static void Promise(const TaskKey& key, TaskState& task, const StepSpec& spec,
+                      BackendEntry& target);
+  void ReleasePromise(const TaskKey& key, TaskState& task);
+  // Releases promises to tasks that no longer wait or stop.
+  void ReleaseUnneededPromises();
+  // The backend server that has kept room for the task, if it may still start there.
+  BackendEntry* PromisedServer(const QueuePolicy& queue, const StepState& step, const TaskKey& key,
+                               const TaskState& task);
   // Whether the policy has refused the step on the backend server for good.
   [[nodiscard]] static bool IsRefused(const StepState& step, const BackendEntry& backend);
   // Whether the label and the step's limit allow a further task of it on the backend server, beside
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -142,6 +142,38 @@
   LONGS_EQUAL(4, starts.size());
 }
 
+// Guards against long-running tasks without a place: two tasks were stopped for the same room.
+TEST(DispatcherRecovery, OneTaskAtATimeIsMovedToTheSameRoom) {
+  AddBackend("b1");
+  AddBackend("b2");
+  StepSpec step = Step(2, 3000);
+  step.long_running = true;
+  step.unavailable_budget = 2;
+  AddJob("j1", {step});
+  Advance(500);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[0].backend == starts[1].backend);
+  const BackendId left = starts[0].backend;
+  const BackendId other(left == BackendId("b1") ? "b2" : "b1");
+  AddJob("j2", {Step(1, 4000)});
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(starts[2].backend == other);
+  dispatcher->SetEvacuating(left, true);
+  Advance(300);
+  // There is room for one of the two.
+  LONGS_EQUAL(1, stops.size());
+  // Other work does not take the room meanwhile.
+  AddJob("j3", {Step(1, 2000)});
+  Advance(300);
+  LONGS_EQUAL(3, starts.size());
+  EndRun(stops[0].task == starts[0].task ? starts[0] : starts[1], RunEnd::kStopped);
+  Advance(300);
+  LONGS_EQUAL(4, starts.size());
+  CHECK(starts[3].task == stops[0].task);
+  CHECK(starts[3].backend == other);
+}
+
 // A task whose backend server does not reply may be unavailable.
 TEST(DispatcherRecovery, MovesNoLongRunningTaskWhileAnotherMayBeUnavailable) {
   AddBackend("b1");
