A VM with tasks is not taken for idle by an older server's entry

Cause, by reading, not shown by a trace: a server that a move has ended is registered again if an entry from before its end is read after it; it is idle, so it is not polled, and looks usable. Of several servers of a VM the autoscaler looked at the one with the last id only. Which server an order meant was not logged; the event vm-moved now names it.

A server that is said to have ended is usable again only once it has replied. A VM is idle only if all of its usable servers are, and is present if one is.

--- a/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
+++ b/coordination/include/sapphirewheel/coordination/pool_autoscaler.h
@@ -110,6 +110,7 @@
     MonotonicTime hold_until;
   };
 
+  [[nodiscard]] static int Rank(const VmEntry& entry, const Dispatcher::BackendView& server);
   void UpdatePools(const std::vector<Dispatcher::BackendView>& backends, MonotonicTime now);
   void PlanDemand(const std::map<PoolId, Dispatcher::PoolLoad>& loads, MonotonicTime now);
   [[nodiscard]] double ArrivingCores(PoolState& pool, std::int64_t arrived_work, MonotonicTime now);
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "dispatcher_state.h"
 
@@ -133,6 +134,11 @@
   const UnixMillis started_at = std::max(backend.report.started_at, report.started_at);
   backend.report = report;
   backend.report.started_at = started_at;
+  // The entry may be older than the end of the server, which then no longer replies.
+  if (std::exchange(backend.said_to_have_ended, false)) {
+    backend.has_replied = false;
+    backend.next_poll = now;
+  }
   backend.registered = true;
 }
 
@@ -268,6 +274,7 @@
     return;
   }
   backend->registered = false;
+  backend->said_to_have_ended = true;
   backend->unacknowledged.clear();
   backend->ends_acknowledged = backend->ends_ack_sent;
 }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -145,6 +145,8 @@
 struct BackendEntry {
   BackendReport report;
   bool registered = true;
+  // The platform has ended it, and its entry has not been seen since.
+  bool said_to_have_ended = false;
   // The present incarnation has replied to a poll of this owner, which fences earlier owners there.
   bool has_replied = false;
   // Has recently not replied to an order.
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -105,13 +105,19 @@
   if (it != vms_.end()) it->second.hold_until = std::max(it->second.hold_until, until);
 }
 
+// The server that a VM runs has the highest rank among those that are registered for it.
+int PoolAutoscaler::Rank(const VmEntry& entry, const Dispatcher::BackendView& server) {
+  constexpr int kNotLeaving = 2;
+  return (entry.leaving.count(server.id) == 0 ? kNotLeaving : 0) + (server.usable ? 1 : 0);
+}
+
 void PoolAutoscaler::UpdatePools(const std::vector<Dispatcher::BackendView>& backends,
                                  MonotonicTime now) {
   std::map<BackendId, const Dispatcher::BackendView*> by_id;
-  std::map<VmId, const Dispatcher::BackendView*> by_vm;
+  std::map<VmId, std::vector<const Dispatcher::BackendView*>> by_vm;
   for (const auto& it : backends) {
     by_id[it.id] = &it;
-    if (!it.vm.empty()) by_vm[it.vm] = &it;
+    if (!it.vm.empty()) by_vm[it.vm].push_back(&it);
   }
   for (auto& [id, pool] : pools_) {
     pool.present = pool.incoming = 0;
@@ -119,8 +125,13 @@
   }
   for (auto& [vm, entry] : vms_) {
     const Dispatcher::BackendView* view = nullptr;
+    bool settled = true;
     if (const auto it = by_vm.find(vm); it != by_vm.end()) {
-      view = it->second;
+      // The registry may still have a server that has ended.
+      for (const auto* server : it->second) {
+        if (view == nullptr || Rank(entry, *server) >= Rank(entry, *view)) view = server;
+        if (server->usable && !server->settled) settled = false;
+      }
     } else if (const auto named = by_id.find(entry.report.backend); named != by_id.end()) {
       view = named->second;
     }
@@ -135,7 +146,7 @@
       entry.report.pool = view->pool;
     }
     entry.backend = view == nullptr ? BackendId() : view->id;
-    const bool idle = view != nullptr && view->usable && view->settled;
+    const bool idle = view != nullptr && view->usable && view->settled && settled;
     if (idle && !entry.idle) entry.idle_since = now;
     entry.idle = idle;
     // Its long-running tasks need room elsewhere.
@@ -211,8 +222,9 @@
     hooks_.evacuate(entry.backend, true);
   }
   if (hooks_.report) {
-    hooks_.report(vm.str() + " from " + entry.report.pool.str() + " to " + target.str() +
-                  ", wanted " + std::to_string(Wanted(target)));
+    const std::string server = entry.backend.empty() ? "no server" : entry.backend.str();
+    hooks_.report(vm.str() + " with " + server + " from " + entry.report.pool.str() + " to " +
+                  target.str() + ", wanted " + std::to_string(Wanted(target)));
   }
   ++pools_[target].incoming;
   hooks_.move(vm, target);
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -118,3 +118,23 @@
   Advance(9000);
   LONGS_EQUAL(2, starts.size());
 }
+
+// Guards against work on a server that has ended, and against VMs that look idle because of it: an
+// entry from before its end was read after it.
+TEST(DispatcherRestart, AnEntryFromBeforeTheEndOfAServerDoesNotMakeItUsable) {
+  AddBackend("b1");
+  Advance(500);
+  CHECK(dispatcher->Backends()[0].usable);
+  dispatcher->BackendEnded(BackendId("b1"), Now());
+  silent.insert(BackendId("b1"));
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  CHECK_FALSE(dispatcher->Backends()[0].usable);
+  Advance(1000);
+  CHECK_FALSE(dispatcher->Backends()[0].usable);
+  LONGS_EQUAL(0, starts.size());
+  // It has not ended after all.
+  silent.clear();
+  Advance(1500);
+  LONGS_EQUAL(1, starts.size());
+}
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -85,6 +85,34 @@
   }
 };
 
+// Guards against long-running tasks that end with their VM: the registry still had the server that
+// the VM ran before, which was idle, and the VM was switched off.
+TEST(PoolAutoscaler, AVmIsNotIdleIfOneOfItsServersHasTasks) {
+  AddVms("a", 5, 0);
+  Dispatcher::BackendView busy = backends.front();
+  busy.id = BackendId("h-a0");
+  busy.tasks = 1;
+  busy.settled = false;
+  backends.insert(backends.begin(), busy);
+  RunTicks(0, 5000);
+  LONGS_EQUAL(3, moves.size());
+  CHECK(std::none_of(moves.begin(), moves.end(),
+                     [](const auto& it) { return it.first == VmId("a0"); }));
+}
+
+// A server that the registry no longer has does not hide the one that the VM runs.
+TEST(PoolAutoscaler, AVmIsPresentIfOneOfItsServersIsUsable) {
+  AddVms("a", 2, 0);
+  Dispatcher::BackendView gone = backends.front();
+  gone.id = BackendId("z-a0");
+  gone.usable = false;
+  backends.push_back(gone);
+  RunTicks(0, 500);
+  for (const auto& it : autoscaler.Status()) {
+    if (it.pool == PoolId("a")) LONGS_EQUAL(2, it.present);
+  }
+}
+
 TEST(PoolAutoscaler, SwitchesOffIdleVmsButKeepsTheMinimumNumber) {
   AddVms("a", 5, 0);
   AddVms("b", 2, 0);
