The progress row of the largest job stays below the size of a row

The store refused each transaction of the owner, the renewal of its ownership among them.

Above 1000 done or failed tasks a row has bitmaps in place of lists, about 5 kB for each 20,000 tasks, the most that a job may have. Failed runs are kept only until their task is done.

Tests: JobProgress.TheRowOfTheLargestJobStaysSmall, red with lists, and one for malformed rows.

--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/json/fwd.hpp>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,7 +35,7 @@
   [[nodiscard]] bool IsFinished(int occurrence) const { return finished_.count(occurrence) > 0; }
   [[nodiscard]] std::size_t FinishedCount() const { return finished_.size(); }
 
-  // Compact JSON for a table row.
+  // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence.
   [[nodiscard]] std::string Encode() const;
   // Errors: kInvalidArgument for any text that Encode does not produce.
   [[nodiscard]] static Result<JobProgress> Decode(std::string_view text);
@@ -42,6 +43,8 @@
  private:
   using StepKey = std::pair<int, int>;
 
+  [[nodiscard]] boost::json::array EncodeFailureBitmaps() const;
+
   std::map<StepKey, std::set<int>> done_;
   // Failed runs by occurrence, step and index. Each run number is kept, because a new owner
   // receives the ends of several backend servers in any order.
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -1,6 +1,9 @@
 #include "sapphirewheel/coordination/job_progress.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <string>
+#include <utility>
 
 #include "sapphirewheel/state/json.h"
 
@@ -12,6 +15,64 @@
 constexpr JobOutcome kOutcomes[] = {JobOutcome::kOpen, JobOutcome::kCompleted, JobOutcome::kFailed,
                                     JobOutcome::kCancelled};
 
+// Above this number of done or failed tasks a row has them as bitmaps, so that it stays below the
+// size of a row of the table service for the largest job.
+constexpr std::size_t kMaxListedTasks = 1000;
+constexpr int kBitsPerDigit = 4;
+// Largest index in a bitmap, against malformed rows.
+constexpr std::size_t kMaxDigits = 25'000;
+constexpr const char* kDigits = "0123456789abcdef";
+
+// Hexadecimal digits; the lowest index is the lowest bit of the first digit.
+std::string EncodeBitmap(const std::set<int>& indices) {
+  std::string digits;
+  for (const int it : indices) {
+    const auto at = static_cast<std::size_t>(it / kBitsPerDigit);
+    if (digits.size() <= at) digits.resize(at + 1, '\0');
+    digits[at] = static_cast<char>(digits[at] | (1 << (it % kBitsPerDigit)));
+  }
+  for (char& it : digits) it = kDigits[static_cast<int>(it)];
+  return digits;
+}
+
+// Absent for anything that EncodeBitmap does not produce.
+std::optional<std::set<int>> DecodeBitmap(std::string_view digits) {
+  if (digits.size() > kMaxDigits) return std::nullopt;
+  std::set<int> indices;
+  const std::string_view all(kDigits);
+  for (std::size_t at = 0; at < digits.size(); ++at) {
+    const auto value = all.find(digits[at]);
+    if (value == std::string_view::npos) return std::nullopt;
+    for (int bit = 0; bit < kBitsPerDigit; ++bit) {
+      if ((value >> bit & 1U) == 0) continue;
+      indices.insert(static_cast<int>(at) * kBitsPerDigit + bit);
+    }
+  }
+  return indices;
+}
+
+// The bitmap at `position` of an entry, and the numbers of the entry without it; absent if there is
+// no bitmap there or the entry is malformed.
+struct BitmapEntry {
+  std::vector<std::int64_t> numbers;
+  std::set<int> indices;
+};
+std::optional<BitmapEntry> DecodeBitmapEntry(const json::value& value, std::size_t position) {
+  if (!value.is_array()) return std::nullopt;
+  const json::array& fields = value.get_array();
+  if (fields.size() <= position || !fields[position].is_string()) return std::nullopt;
+  auto indices = DecodeBitmap(fields[position].get_string());
+  if (!indices) return std::nullopt;
+  BitmapEntry entry;
+  entry.indices = std::move(*indices);
+  for (std::size_t n = 0; n < fields.size(); ++n) {
+    if (n == position) continue;
+    if (!fields[n].is_int64()) return std::nullopt;
+    entry.numbers.push_back(fields[n].get_int64());
+  }
+  return entry;
+}
+
 Error Malformed(const std::string& what) {
   return Error{ErrorKind::kInvalidArgument, "the progress row has no valid " + what,
                "restore the row or cancel the job", RunState::kNotRun, std::nullopt};
@@ -46,6 +107,7 @@
 
 bool JobProgress::MarkDone(const TaskKey& task) {
   if (IsFinished(task.occurrence)) return false;
+  failures_.erase({task.occurrence, task.step, task.index});
   return done_[{task.occurrence, task.step}].insert(task.index).second;
 }
 
@@ -77,18 +139,43 @@
   std::erase_if(failures_, [&](const auto& row) { return std::get<0>(row.first) == occurrence; });
 }
 
+json::array JobProgress::EncodeFailureBitmaps() const {
+  // Most tasks that failed did so in runs with the same numbers.
+  std::map<std::tuple<int, int, std::set<RunNumber>>, std::set<int>> groups;
+  for (const auto& [task, runs] : failures_) {
+    const auto& [occurrence, step, index] = task;
+    groups[{occurrence, step, runs}].insert(index);
+  }
+  json::array failures;
+  for (const auto& [key, indices] : groups) {
+    const auto& [occurrence, step, runs] = key;
+    json::array entry{occurrence, step, EncodeBitmap(indices)};
+    for (const RunNumber run : runs) entry.emplace_back(run.count());
+    failures.emplace_back(std::move(entry));
+  }
+  return failures;
+}
+
 std::string JobProgress::Encode() const {
   json::object row;
   row["outcome"] = static_cast<int>(outcome);
+  std::size_t tasks = failures_.size();
+  for (const auto& [step, indices] : done_) tasks += indices.size();
+  const bool compact = tasks > kMaxListedTasks;
   json::array done;
   for (const auto& [step, indices] : done_) {
     json::array entry{step.first, step.second};
-    entry.insert(entry.end(), indices.begin(), indices.end());
+    if (compact) {
+      entry.emplace_back(EncodeBitmap(indices));
+    } else {
+      entry.insert(entry.end(), indices.begin(), indices.end());
+    }
     done.emplace_back(std::move(entry));
   }
   if (!done.empty()) row["done"] = std::move(done);
-  json::array failures;
+  json::array failures = compact ? EncodeFailureBitmaps() : json::array();
   for (const auto& [task, it] : failures_) {
+    if (compact) break;
     const auto& [occurrence, step, index] = task;
     json::array entry{occurrence, step, index};
     for (const RunNumber run : it) entry.emplace_back(run.count());
@@ -109,6 +196,12 @@
   progress.outcome = kOutcomes[number];
   if (const auto* done = row.if_contains("done"); done != nullptr && done->is_array()) {
     for (const json::value& entry : done->get_array()) {
+      if (auto bitmap = DecodeBitmapEntry(entry, 2); bitmap && bitmap->numbers.size() == 2) {
+        const StepKey step(static_cast<int>(bitmap->numbers[0]),
+                           static_cast<int>(bitmap->numbers[1]));
+        progress.done_[step] = std::move(bitmap->indices);
+        continue;
+      }
       const auto numbers = Numbers(entry, 2);
       if (numbers.empty()) return Malformed("list of done tasks");
       auto& indices = progress.done_[{static_cast<int>(numbers[0]), static_cast<int>(numbers[1])}];
@@ -119,6 +212,16 @@
       failures != nullptr && failures->is_array()) {
     constexpr std::size_t kTaskFields = 3;
     for (const json::value& entry : failures->get_array()) {
+      if (const auto bitmap = DecodeBitmapEntry(entry, 2); bitmap && bitmap->numbers.size() >= 2) {
+        for (const int index : bitmap->indices) {
+          auto& runs = progress.failures_[{static_cast<int>(bitmap->numbers[0]),
+                                           static_cast<int>(bitmap->numbers[1]), index}];
+          for (std::size_t n = 2; n < bitmap->numbers.size(); ++n) {
+            runs.insert(RunNumber(bitmap->numbers[n]));
+          }
+        }
+        continue;
+      }
       const auto numbers = Numbers(entry, kTaskFields);
       if (numbers.empty()) return Malformed("list of failures");
       auto& runs = progress.failures_[{static_cast<int>(numbers[0]), static_cast<int>(numbers[1]),
--- a/coordination/tests/job_progress_test.cc
+++ b/coordination/tests/job_progress_test.cc
@@ -1,5 +1,7 @@
 #include "sapphirewheel/coordination/job_progress.h"
 
+#include <algorithm>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace sapphirewheel;  // NOLINT(google-build-using-namespace)
@@ -38,6 +40,41 @@
   CHECK(again.value().outcome == JobOutcome::kOpen);
 }
 
+// Guards against an owner that can write nothing any more because a row is larger than the table
+// service takes.
+TEST(JobProgress, TheRowOfTheLargestJobStaysSmall) {
+  constexpr int kTasks = 20'000;
+  constexpr std::size_t kRowBytes = 65'536;
+  JobProgress progress;
+  std::size_t largest = 0;
+  for (int n = 0; n < kTasks; ++n) {
+    // Every other task first, so that the done ones have no long ranges.
+    const int index = n < kTasks / 2 ? 2 * n : 2 * (n - kTasks / 2) + 1;
+    progress.CountFailure({kTask.job, 0, 0, index}, RunNumber(1));
+    if (n % 3 != 0) progress.MarkDone({kTask.job, 0, 0, index});
+    if (n % 500 == 0) largest = std::max(largest, progress.Encode().size());
+  }
+  largest = std::max(largest, progress.Encode().size());
+  CHECK(largest < kRowBytes);
+  const auto again = JobProgress::Decode(progress.Encode());
+  CHECK(again.has_value());
+  LONGS_EQUAL(progress.DoneCount(0, 0), again.value().DoneCount(0, 0));
+  CHECK_FALSE(again.value().IsDone({kTask.job, 0, 0, 0}));
+  LONGS_EQUAL(1, again.value().FailureCount({kTask.job, 0, 0, 0}));
+  CHECK(again.value().IsDone({kTask.job, 0, 0, 2}));
+  LONGS_EQUAL(0, again.value().FailureCount({kTask.job, 0, 0, 2}));
+  STRCMP_EQUAL(progress.Encode().c_str(), again.value().Encode().c_str());
+}
+
+TEST(JobProgress, RejectsMalformedBitmaps) {
+  for (const char* it :
+       {R"({"outcome":0,"done":[[0,0,"x"]]})", R"({"outcome":0,"done":[[0,"1"]]})",
+        R"({"outcome":0,"done":[[0,0,"1",2]]})", R"({"outcome":0,"failures":[[0,0,"1g",1]]})",
+        R"({"outcome":0,"failures":[[0,"1",1]]})"}) {
+    CHECK_FALSE(JobProgress::Decode(it).has_value());
+  }
+}
+
 TEST(JobProgress, RejectsMalformedRows) {
   CHECK_FALSE(JobProgress::Decode("{}").has_value());
   CHECK_FALSE(JobProgress::Decode("{\"outcome\":9}").has_value());
