A job waits until one of its tasks is known to have started

Cause: a job no longer counted as waiting once its first start was ordered, also if the order never arrived, such as at a crashed server.

It counts until a reply, a list or an end shows a run of it.

Tests: two new ones of DispatcherRecovery; the first red before.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -258,8 +258,8 @@
   void WritesDone(bool written);
   [[nodiscard]] bool HasWrites() const;
 
-  // Number of accepted jobs of each queue that have not started a task. Jobs with due times are not
-  // counted.
+  // Number of accepted jobs of each queue of which no task is known to have started. Jobs with due
+  // times are not counted.
   [[nodiscard]] std::map<QueueId, int> Waiting() const;
 
   // While evacuating, a backend server gets no new tasks, and its long-running tasks are moved away
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -143,6 +143,7 @@
   if (backend.orphans.erase({end.task, end.run}) > 0) place_due = true;
   const TaskRef ref = FindStarted(end.task);
   if (!ref) return;
+  ref.job->any_started = true;
   TaskState& task = *ref.task;
   const bool current = task.backend == &backend && task.run == end.run;
   if (current && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
@@ -218,6 +219,7 @@
 
 void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
   const TaskRef ref = FindStarted(row.task);
+  if (ref) ref.job->any_started = true;
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
@@ -250,7 +252,6 @@
     task.percent = row.percent;
     task.load = row.load;
     task.checkpoint = row.checkpoint;
-    ref.job->any_started = true;
     Report(DecisionKind::kTaskStarted, row.task.job, row.task.str(), backend.report.id, row.run,
            "found running");
     return;
@@ -410,6 +411,7 @@
   switch (reply.outcome) {
     case OrderOutcome::kDone:
       task.phase = TaskPhase::kRunning;
+      ref.job->any_started = true;
       task.confirmed_at = task.last_progress = now;
       impl_->RecordLease(*backend, order.lease_until, reply.clock);
       return;
@@ -423,6 +425,7 @@
       break;
     case OrderOutcome::kStaleRun:
       // The run ended before this reply; the next poll shows how.
+      ref.job->any_started = true;
       task.phase = TaskPhase::kStopping;
       task.stop_confirmed = true;
       task.confirmed_at = now;
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -266,7 +266,6 @@
   task.ordered_at = now_;
   task.lease_until = NewLeaseEnd(backend);
   task.located = true;
-  ref.job->any_started = true;
   Report(DecisionKind::kTaskStarted, key.job, key.str(), backend.report.id, run,
          "used " + std::to_string(backend.used.cpu_millis) + "/" +
              std::to_string(backend.report.capacity.cpu_millis) + " mcpu");
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -124,6 +124,7 @@
   bool inherited = false;
   // Its team had submitted more than its share.
   bool over_share = false;
+  // A run of it is known to have started; an order to start one is not enough.
   bool any_started = false;
   // Sequence number of the oldest unwritten change; 0 if there is none.
   std::uint64_t dirty_since = 0;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -866,3 +866,37 @@
   LONGS_EQUAL(0, starts.size());
   LONGS_EQUAL(0, stops.size());
 }
+
+// Guards against counts of waiting jobs that are too low: the first start was sent to a server that
+// had crashed, and the others are full.
+TEST(DispatcherRecovery, AJobWhoseFirstStartIsNotCarriedOutIsWaiting) {
+  AddBackend("b1");
+  Advance(300);
+  silent.insert(BackendId("b1"));
+  AddJob("j1", {Step(1, 1000)});
+  Advance(100);
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, dispatcher->Waiting()[QueueId("q")]);
+  dispatcher->OnStart(starts[0], OrderReply{}, Now());
+  Advance(8000);
+  LONGS_EQUAL(1, dispatcher->Waiting()[QueueId("q")]);
+  silent.clear();
+  AddBackend("b2");
+  Advance(2000);
+  CHECK(starts.size() > 1);
+  LONGS_EQUAL(0, dispatcher->Waiting()[QueueId("q")]);
+}
+
+// A list that names a run shows its start, also without a reply to the order.
+TEST(DispatcherRecovery, AJobOfWhichARunIsListedIsNotWaiting) {
+  AddBackend("b1");
+  Advance(300);
+  silent.insert(BackendId("b1"));
+  AddJob("j1", {Step(1, 1000)});
+  Advance(100);
+  LONGS_EQUAL(1, starts.size());
+  running[BackendId("b1")].push_back({starts[0].task, starts[0].run, "", 1, 0});
+  silent.clear();
+  Advance(1000);
+  LONGS_EQUAL(0, dispatcher->Waiting()[QueueId("q")]);
+}
