A start without a reply is not repeated on a draining server

Cause: a start without a reply was repeated whatever the server reported since. It is stopped there instead, which bars a late first order, and the task starts elsewhere.

Test: DispatcherRecovery.AStartIsNotRepeatedOnADrainingServer, red before.

--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -111,6 +111,12 @@
   for (const TaskKey& key : keys) {
     const TaskRef ref = Find(key);
     TaskState& task = *ref.task;
+    // A repeated start would be a new one there. The stop keeps an earlier one from being carried
+    // out late.
+    const bool overdue = !task.order_in_flight && now_ >= task.retry_at;
+    if (backend.report.draining && task.phase == TaskPhase::kStarting && overdue) {
+      BeginStop(key, ref);
+    }
     const bool starting = task.phase == TaskPhase::kStarting;
     const bool stopping = task.phase == TaskPhase::kStopping && !task.stop_confirmed;
     open = open || starting || stopping;
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -900,3 +900,32 @@
   Advance(1000);
   LONGS_EQUAL(0, dispatcher->Waiting()[QueueId("q")]);
 }
+
+// Guards against starts on a server that has long said that it leaves: an order without a reply was
+// repeated there.
+TEST(DispatcherRecovery, AStartIsNotRepeatedOnADrainingServer) {
+  AddBackend("b1");
+  Advance(300);
+  AddJob("j1", {Step(1, 1000)});
+  silent.insert(BackendId("b1"));
+  Advance(100);
+  LONGS_EQUAL(1, starts.size());
+  dispatcher->OnStart(starts[0], OrderReply{}, Now());
+  silent.clear();
+  BackendReport report;
+  report.id = BackendId("b1");
+  report.pool = PoolId("p");
+  report.capacity = kServer;
+  report.draining = true;
+  report.started_at = UnixMillis(started_at);
+  dispatcher->UpsertBackend(report, Now());
+  AddBackend("b2");
+  Advance(1000);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(!stops.empty());
+  CHECK(stops[0].task == starts[0].task);
+  dispatcher->OnStop(stops[0], OrderReply{OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  Advance(1000);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b2"));
+}
