A task that is moved does not start in a pool that its queue has left

Found by reading the diff: room that is kept for a moved task was used also if the configuration had meanwhile routed its queue to another pool (ROUTE).

Test: DispatcherRoutes.AMovedTaskDoesNotStartInTheFormerPool, red before.

--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -402,6 +402,7 @@
                                                const TaskKey& key, const TaskState& task) {
   BackendEntry* backend = FindBackend(task.promised_on);
   if (backend == nullptr || !IsUsable(*backend)) return nullptr;
+  if (backend->report.pool != queue.pool) return nullptr;
   if (queue.advice && !HasValidTicket(step, *backend)) return nullptr;
   const auto promise = backend->promised.find(key);
   if (promise == backend->promised.end()) return nullptr;
--- a/coordination/tests/dispatcher_routes_test.cc
+++ b/coordination/tests/dispatcher_routes_test.cc
@@ -221,3 +221,25 @@
   Advance(300);
   LONGS_EQUAL(2, starts.size());
 }
+
+// Guards against a start in a pool that the queue has left while its task was moved within it.
+TEST(DispatcherRoutes, AMovedTaskDoesNotStartInTheFormerPool) {
+  SetPool(former);
+  AddBackend("b1");
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  AddJob("j1", {step});
+  Advance(300);
+  LONGS_EQUAL(1, starts.size());
+  AddBackend("b2");
+  AddBackend("b3", {}, "", "p2");
+  Advance(300);
+  dispatcher->SetEvacuating(BackendId("b1"), true);
+  Advance(300);
+  LONGS_EQUAL(1, stops.size());
+  SetPool(present);
+  EndRun(starts[0], RunEnd::kStopped);
+  Advance(500);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == BackendId("b3"));
+}
