--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -478,8 +478,7 @@
   }
   std::string detail = "pool=" + queue.pool.str();
   if (!IsWithinLimit(job.stored.team, spec.per_task)) detail += " team above its upper limit";
-  for (const auto& [reason, n] : servers)
-    detail += " " + std::string(reason) + "=" + std::to_string(n);
+  for (const auto& [reason, n] : servers) detail += " " + reason + "=" + std::to_string(n);
   const TaskKey key{job.stored.id, candidate.occurrence->number, candidate.step, index};
   Report(DecisionKind::kTaskWaiting, key.job, key.str(), BackendId(), RunNumber(), detail);
 }
