The stored progress of maintenance has a name of its own

A program that includes all headers did not compile, and the linker could have taken the functions of one type for those of the other.

It is called MaintenanceProgress.

--- a/coordination/include/sapphirewheel/coordination/maintenance_runner.h
+++ b/coordination/include/sapphirewheel/coordination/maintenance_runner.h
@@ -15,17 +15,17 @@
 namespace sapphirewheel {
 
 // What is stored of a wave, so that a later owner can continue it.
-struct WaveProgress {
+struct MaintenanceProgress {
   std::set<VmId> finished;
   // VMs whose maintenance in this wave may have been ordered. Stored before the first order is
   // sent.
   std::set<VmId> ordered;
 
-  bool operator==(const WaveProgress&) const = default;
+  bool operator==(const MaintenanceProgress&) const = default;
   // JSON; VMs that are not named have neither been ordered nor finished.
   [[nodiscard]] std::string Encode() const;
   // Empty if the text is malformed.
-  [[nodiscard]] static WaveProgress Decode(std::string_view text);
+  [[nodiscard]] static MaintenanceProgress Decode(std::string_view text);
 };
 
 // Carries out the maintenance waves that operators ordered: frees a VM of its tasks, records that
@@ -53,7 +53,7 @@
 
   // `progress` is what an earlier owner stored of the wave. Its last orders may still be carried
   // out.
-  void AddWave(const WaveOrder& order, const WaveProgress& progress, MonotonicTime now);
+  void AddWave(const WaveOrder& order, const MaintenanceProgress& progress, MonotonicTime now);
   // Takes the platform's list of VMs, which must be complete and was requested at `requested`.
   void SetVms(const std::vector<VmReport>& vms, MonotonicTime requested, MonotonicTime now);
   void OnMaintain(const VmId& vm, std::int64_t wave, VmOrderOutcome outcome, MonotonicTime now);
@@ -66,13 +66,13 @@
 
   struct Change {
     std::int64_t wave = 0;
-    WaveProgress progress;
+    MaintenanceProgress progress;
     bool completed = false;
   };
   // Takes the waves whose state has changed since the last call, to be written.
   [[nodiscard]] std::vector<Change> TakeChanges();
   // The progress of a wave has been stored, so that what it names as ordered may be ordered.
-  void OnStored(std::int64_t wave, const WaveProgress& progress);
+  void OnStored(std::int64_t wave, const MaintenanceProgress& progress);
 
  private:
   // kRecording: the VM is free and its order is being recorded.
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -103,7 +103,7 @@
     if (!inherited_routes) ReportEvent(NodeEvent::kJobUnreadable, "routes: " + row.value);
   } else if (key.rfind(wave_prefix, 0) == 0) {
     const auto number = std::atoll(key.c_str() + wave_prefix.size());
-    wave_progress[number] = WaveProgress::Decode(row.value);
+    wave_progress[number] = MaintenanceProgress::Decode(row.value);
   }
 }
 
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -132,7 +132,7 @@
   std::shared_ptr<const DispatchConfig> config;
   std::map<std::int64_t, WaveOrder> waves;
   // What earlier owners stored of each wave.
-  std::map<std::int64_t, WaveProgress> wave_progress;
+  std::map<std::int64_t, MaintenanceProgress> wave_progress;
   std::set<std::int64_t> known_waves;
 
   // When this node took the ownership; earlier owners sent no orders after it.
@@ -173,7 +173,7 @@
   MonotonicTime next_commit;
   MonotonicTime next_horizon;
   // Wave rows to be written, and the completion of waves to be shown to operators.
-  std::map<std::int64_t, WaveProgress> wave_rows;
+  std::map<std::int64_t, MaintenanceProgress> wave_rows;
   std::map<std::int64_t, bool> status_writes;
   bool status_in_flight = false;
   // The store's clock in its last reply, and when the call was sent and the reply was here: the
--- a/coordination/src/maintenance_runner.cc
+++ b/coordination/src/maintenance_runner.cc
@@ -32,20 +32,20 @@
 
 }  // namespace
 
-std::string WaveProgress::Encode() const {
+std::string MaintenanceProgress::Encode() const {
   boost::json::object row;
   row["finished"] = EncodeVms(finished);
   row["ordered"] = EncodeVms(ordered);
   return boost::json::serialize(row);
 }
 
-WaveProgress WaveProgress::Decode(std::string_view text) {
+MaintenanceProgress MaintenanceProgress::Decode(std::string_view text) {
   const auto row = ParseObject(text);
   if (!row) return {};
   return {DecodeVms(row.value(), "finished"), DecodeVms(row.value(), "ordered")};
 }
 
-void MaintenanceRunner::AddWave(const WaveOrder& order, const WaveProgress& progress,
+void MaintenanceRunner::AddWave(const WaveOrder& order, const MaintenanceProgress& progress,
                                 MonotonicTime now) {
   if (waves_.count(order.number) > 0) return;
   Wave& wave = waves_[order.number];
@@ -358,7 +358,7 @@
   return changes;
 }
 
-void MaintenanceRunner::OnStored(std::int64_t number, const WaveProgress& progress) {
+void MaintenanceRunner::OnStored(std::int64_t number, const MaintenanceProgress& progress) {
   const auto wave = waves_.find(number);
   if (wave == waves_.end()) return;
   for (const VmId& it : progress.ordered) {
--- a/coordination/tests/maintenance_runner_test.cc
+++ b/coordination/tests/maintenance_runner_test.cc
@@ -24,7 +24,7 @@
   std::vector<VmReport> vms;
 
   // The last progress that was stored of each wave, and the waves that are completed.
-  std::map<std::int64_t, WaveProgress> stored;
+  std::map<std::int64_t, MaintenanceProgress> stored;
   std::set<std::int64_t> completed;
 
   MaintenanceRunner runner{Hooks(), Millis(2000)};
@@ -278,7 +278,7 @@
 TEST(MaintenanceRunner, SkipsVmsThatAnEarlierOwnerFinished) {
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 2};
-  const auto progress = WaveProgress::Decode(WaveProgress{{VmId("v1")}, {}}.Encode());
+  const auto progress = MaintenanceProgress::Decode(MaintenanceProgress{{VmId("v1")}, {}}.Encode());
   runner.AddWave(order, progress, At(0));
   runner.SetVms(vms, At(0), At(0));
   Tick(0);
@@ -341,7 +341,7 @@
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 1};
   busy.insert(BackendId("b-v1"));
-  runner.AddWave(order, WaveProgress{{}, {VmId("v1")}}, At(0));
+  runner.AddWave(order, MaintenanceProgress{{}, {VmId("v1")}}, At(0));
   // It gets no work even before the first list of VMs.
   Tick(0);
   CHECK(evacuated.count(BackendId("b-v1")) > 0);
@@ -371,7 +371,7 @@
   for (const char* it : {"v1", "v2"}) AddVm(it);
   WaveOrder order{1, {VmId("v1"), VmId("v2")}, Millis(20'000), 1};
   busy.insert(BackendId("b-v1"));
-  runner.AddWave(order, WaveProgress{{}, {VmId("v1")}}, At(0));
+  runner.AddWave(order, MaintenanceProgress{{}, {VmId("v1")}}, At(0));
   runner.SetVms(vms, At(10), At(20));
   Tick(12'900);
   LONGS_EQUAL(0, ordered.size());
@@ -383,8 +383,8 @@
 // The list shows that the repeated order was carried out and not only confirmed.
 TEST(MaintenanceRunner, ARepeatedOrderOfAnEarlierOwnerEndsTheServerThatTheListNoLongerShows) {
   AddVm("v1");
-  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1}, WaveProgress{{}, {VmId("v1")}},
-                 At(0));
+  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1},
+                 MaintenanceProgress{{}, {VmId("v1")}}, At(0));
   runner.SetVms(vms, At(10), At(20));
   Tick(100);
   LONGS_EQUAL(1, ordered.size());
@@ -399,8 +399,8 @@
 TEST(MaintenanceRunner, SeesTheMaintenanceThatAnEarlierOwnerOrdered) {
   AddVm("v1");
   vms[0].state = VmState::kMaintenance;
-  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1}, WaveProgress{{}, {VmId("v1")}},
-                 At(0));
+  runner.AddWave(WaveOrder{1, {VmId("v1")}, Millis(20'000), 1},
+                 MaintenanceProgress{{}, {VmId("v1")}}, At(0));
   runner.SetVms(vms, At(2000), At(2010));
   Tick(2010);
   vms[0].state = VmState::kUp;
@@ -420,7 +420,7 @@
   LONGS_EQUAL(1, changes.size());
   CHECK(changes[0].progress.ordered == std::set<VmId>{VmId("v1")});
   // An earlier write that does not name the VM.
-  runner.OnStored(1, WaveProgress{});
+  runner.OnStored(1, MaintenanceProgress{});
   runner.Tick(backends, At(1000));
   LONGS_EQUAL(0, ordered.size());
   runner.OnStored(1, changes[0].progress);
@@ -440,10 +440,10 @@
 }
 
 TEST(MaintenanceRunner, ProgressOfAnOlderVersionNamesNoOrders) {
-  const auto progress = WaveProgress::Decode(R"({"finished":["v1"]})");
+  const auto progress = MaintenanceProgress::Decode(R"({"finished":["v1"]})");
   CHECK(progress.finished == std::set<VmId>{VmId("v1")});
   CHECK(progress.ordered.empty());
-  CHECK(WaveProgress::Decode("[1]") == WaveProgress{});
-  const WaveProgress both{{VmId("v1")}, {VmId("v2")}};
-  CHECK(WaveProgress::Decode(both.Encode()) == both);
+  CHECK(MaintenanceProgress::Decode("[1]") == MaintenanceProgress{});
+  const MaintenanceProgress both{{VmId("v1")}, {VmId("v2")}};
+  CHECK(MaintenanceProgress::Decode(both.Encode()) == both);
 }
