Case 10: a job runs after its cancelling was acknowledged

Cause: a cancel of a job that is not stored yet leaves no mark, so a late write of the store creates it. Done: a script with lost answers of the store and a cancel at another node.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# See claim.txt. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/cases2 ] || { echo "review/build-2.sh has not run"; exit 2; }
+exec target/review-2/cases2 cancelled review/10/record.txt
