--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/cases2 ] || { echo "review/build-2.sh has not run"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2/cases2 removed review/10/record.txt
+exec target/review-2/cases2 cancelled review/10/record.txt
