--- a/review/cases2.cpp
+++ b/review/cases2.cpp
@@ -27,14 +27,19 @@
 
 // The whole deployment of a case: three machines of the system, services `orders` and `blending`.
 struct Deployment {
-  explicit Deployment(int machines_per_service = 4, int memory_mb = 260)
+  explicit Deployment(int machines_per_service = 4, int memory_mb = 260, int connections = 0)
       : ip(LoopbackPrefix()),
-        fleet(store, Fleet::Settings{ip + "100", {"orders", "blending"}, machines_per_service}),
+        fleet(store, FleetSettings(ip, machines_per_service, connections)),
         system(ip, 3, ip + "100:" + std::to_string(store.Listen(ip + "100")),
                ip + "100:" + std::to_string(fleet.Listen()), memory_mb,
                ip + "100:" + std::to_string(store.ListenTroubled(ip + "100"))) {
     PutConfig(store, 1, routes, services);
   }
+  static Fleet::Settings FleetSettings(const std::string& ip, int machines, int connections) {
+    Fleet::Settings settings{ip + "100", {"orders", "blending"}, machines};
+    settings.connections = connections;
+    return settings;
+  }
   bool Begin() {
     system.StartAll();
     if (!system.AwaitReady(10'000)) return false;
@@ -50,8 +55,8 @@
 };
 
 std::unique_ptr<Deployment> deployed;
-Deployment& Deploy(int machines_per_service = 4, int memory_mb = 260) {
-  deployed = std::make_unique<Deployment>(machines_per_service, memory_mb);
+Deployment& Deploy(int machines_per_service = 4, int memory_mb = 260, int connections = 0) {
+  deployed = std::make_unique<Deployment>(machines_per_service, memory_mb, connections);
   return *deployed;
 }
 
@@ -313,6 +318,55 @@
                                      " ms; the first start was " + std::to_string(first) + " ms after the disruption");
 }
 
+// The owner freezes and wakes again; its idle connections take up the executors' limits.
+int Crowded() {
+  constexpr int kConnections = 64;
+  constexpr int kRounds = 12;  // at most
+  constexpr int kJobs = 16;  // a service and round
+  constexpr int kWidth = 24;
+  Deployment& d = Deploy(4, 260, kConnections);
+  if (!d.Begin()) return CannotRun("the system is not ready");
+  d.fleet.verbose = false;
+  int number = 100;
+  // The same clients hand in jobs in rounds, until each executor was once given as many at one moment as it has room for.
+  for (int round = 0; round < kRounds && d.fleet.LeastConnections() < kConnections; ++round) {
+    std::vector<std::thread> clients;
+    std::vector<std::string> paths;
+    for (const auto& service : d.services) {
+      for (int n = 0; n < kJobs; ++n) paths.push_back("/" + service + "/" + Id(number++));
+    }
+    for (const auto& path : paths) {
+      clients.emplace_back([&d, path] { d.system.Submit(path, Body("600", kWidth, 400, 600), 9000); });
+    }
+    for (auto& it : clients) it.join();
+    for (const auto& path : paths) {
+      if (!d.system.AwaitState(path, "completed", 15'000)) return CannotRun("no job completed");
+    }
+  }
+  Sleep(1000);
+  d.fleet.verbose = true;
+  d.fleet.RecordConnections();
+  if (d.fleet.LeastConnections() < kConnections) return CannotRun("an executor has connections left");
+  const int owner = d.system.NodeOf(OwnerOf(d.store));
+  if (kTrouble) {
+    d.system.Signal(owner, SIGSTOP);
+    Sleep(3500);
+    d.system.Signal(owner, SIGCONT);
+  }
+  Sleep(9000);
+  // The disruption is over for contact_ms: these jobs are accepted, and there is room for all of them.
+  std::vector<std::string> jobs;
+  for (int n = 2; n < 8; ++n) {
+    jobs.push_back("/orders/" + Id(n));
+    if (!d.system.Submit(jobs.back(), Body("300", 2, 1000, 300))) return CannotRun("a job is not accepted");
+  }
+  Sleep(14'000);
+  d.fleet.RecordConnections();
+  record.Line("store: the owner was %s and is %s", d.system.Name(owner).c_str(), OwnerOf(d.store).c_str());
+  const Judged j = Judge(jobs, "orders");
+  return Verdict(j.waiting > 0 && j.used < 0.5, Say(j, jobs.size(), 14));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -326,6 +380,7 @@
   if (name == "repeated") status = Repeated();
   if (name == "past") status = Past();
   if (name == "removed") status = Removed();
+  if (name == "crowded") status = Crowded();
   if (name == "silent") status = Silent();
   if (name == "cancelled") status = Cancelled();
   if (deployed) deployed->system.End();
--- a/review/platform2.hpp
+++ b/review/platform2.hpp
@@ -237,6 +237,9 @@
     std::thread([this] { Accept(); }).detach();
     return ntohs(a.sin_port);
   }
+  // Connections above `cap` are reset; 0: no cap.
+  std::atomic<int> cap{0}, open{0}, most{0}, reset{0};
+
  private:
   void Accept() {
     while (true) {
@@ -245,9 +248,20 @@
         Sleep(5);
         continue;
       }
+      if (cap > 0 && open >= cap) {
+        const linger at_once{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        ::close(fd);
+        ++reset;
+        continue;
+      }
+      most = std::max(most.load(), ++open);
       const int one = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-      std::thread([this, fd] { Serve(fd); }).detach();
+      std::thread([this, fd] {
+        Serve(fd);
+        --open;
+      }).detach();
     }
   }
   void Serve(int fd) {
@@ -569,6 +583,7 @@
     std::int64_t stop_ms = 100;
     std::int64_t maintenance_ms = 2000;
     std::int64_t move_ms = 1500;
+    int connections = 0;  // of each executor at most; 0: no limit
   };
   struct Start {
     std::int64_t at;
@@ -587,6 +602,7 @@
         m.name = "m-" + service + "-" + std::to_string(n);
         m.pool = service;
         m.rack = "r" + std::to_string(n / 4);
+        m.server.cap = settings_.connections;
         m.port = m.server.Listen(settings_.ip, [this, &m](const Request& r) { return Order(m, r); });
         machines_[m.name] = std::move(owned);
       }
@@ -636,6 +652,21 @@
     for (const auto& it : noted_) c.noted += it.rfind(prefix, 0) == 0;
     return c;
   }
+  // The fewest connections that an executor has.
+  int LeastConnections() {
+    const std::lock_guard lock(mutex_);
+    int least = 1 << 30;
+    for (auto& [name, m] : machines_) least = std::min(least, m->server.open.load());
+    return least;
+  }
+  // Writes how many connections the executors have.
+  void RecordConnections() {
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, m] : machines_) {
+      record.Line("executors: %s has %d connections, had %d at most, and has reset %d above its limit", name.c_str(),
+                  m->server.open.load(), m->server.most.load(), m->server.reset.load());
+    }
+  }
   // Number of runs of tasks whose names begin so.
   int Running(const std::string& prefix) {
     const std::lock_guard lock(mutex_);
