Index the digits of a bitmap by an unsigned character

Cause: clang-tidy (bugprone-signed-char-misuse) reports the conversion of a char to an index in EncodeBitmap where char is signed, as on x86-64; on arm64 it is unsigned and the check passes. The value is 0 to 15, so the result was right on both.

--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -31,7 +31,7 @@
     if (digits.size() <= at) digits.resize(at + 1, '\0');
     digits[at] = static_cast<char>(digits[at] | (1 << (it % kBitsPerDigit)));
   }
-  for (char& it : digits) it = kDigits[static_cast<int>(it)];
+  for (char& it : digits) it = kDigits[static_cast<unsigned char>(it)];
   return digits;
 }
 
