Pause between the attempts of a write that fails at once

Cause: a submission or cancel without a reply was sent again at once. While the store resets each connection as it is opened, that is a busy loop: 21,000 connections of one node in 2 s, each of which costs the test's proxy a thread.

Before: EntryNodeCalls.PausesBetweenTheAttemptsOfAWriteThatFailsAtOnce red.

--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -93,7 +93,7 @@
   auto pending = std::make_shared<PendingCall>();
   pending->job = JobId(admitted.path_suffix);
   pending->respond = std::move(respond);
-  pending->received_at = now;
+  pending->received_at = pending->attempt_began = now;
   pending->reply_by = reply_by;
   if (call.kind == CallKind::kRead) {
     ReadState(pending);
@@ -133,10 +133,19 @@
     call->respond(ErrorReply(StoreUnavailable(call->may_be_done)));
     return;
   }
-  if (outcome == StoreOutcome::kNotDone) {
-    ScheduleAfter(kStoreRetryDelay, std::move(retry));
-  } else {
+  const MonotonicTime now = ports.now();
+  // Not at once, because the store may reset each connection as soon as it is opened.
+  const MonotonicTime due = outcome == StoreOutcome::kNotDone
+                                ? now + kStoreRetryDelay
+                                : call->attempt_began + kStoreRetryDelay;
+  const auto begin_attempt = [this, call, retry = std::move(retry)] {
+    call->attempt_began = ports.now();
     retry();
+  };
+  if (due > now) {
+    ScheduleAfter(due - now, begin_attempt);
+  } else {
+    begin_attempt();
   }
 }
 
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -23,6 +23,8 @@
   EntryNode::Respond respond;
   MonotonicTime received_at;
   MonotonicTime reply_by;
+  // When the present attempt to serve it began.
+  MonotonicTime attempt_began;
   int attempts = 0;
   // A write may have been carried out.
   bool may_be_done = false;
--- a/coordination/tests/entry_node_calls_test.cc
+++ b/coordination/tests/entry_node_calls_test.cc
@@ -19,12 +19,16 @@
 constexpr const char* kHost = "jobs.example";
 const JobId kJob("00000000000000a1");
 
-// A table service that carries out each read when the test asks for it.
+// A table service that carries out each call when the test asks for it, the oldest read first.
 class SteppedStore final : public RowStore {
  public:
   std::map<RowAddress, std::string> rows;
+  // Transactions that wait for CommitOldest or LoseOldest.
+  std::deque<std::pair<RowTransaction, RowsCallback>> transactions;
 
-  void Commit(const RowTransaction&, Millis, RowsCallback) override {}
+  void Commit(const RowTransaction& tx, Millis, RowsCallback done) override {
+    transactions.emplace_back(tx, std::move(done));
+  }
   void ListParts(const std::string&, const std::string&, Millis, PartsCallback) override {}
   void Follow(const std::string&, Revision, Millis, Millis, RowsCallback) override {}
   void Read(const RowRange& range, Millis, RowsCallback done) override {
@@ -41,18 +45,62 @@
     for (const auto& [at, value] : rows) {
       const bool inside = at.table == range.table && at.part == range.part &&
                           at.key >= range.from && (range.to.empty() || at.key < range.to);
-      if (inside) reply.rows.push_back(StoredRow{at, value, Revision(1), false});
+      if (inside) reply.rows.push_back(StoredRow{at, value, RevisionOf(at), false});
     }
     done(reply);
     return true;
   }
+  // Carries out all reads and transactions.
   void ServeAll() {
-    while (ServeOne()) {
+    while (ServeOne() || CommitOldest()) {
+    }
+  }
+  // Carries out the oldest transaction; false if none is waiting.
+  bool CommitOldest() {
+    if (transactions.empty()) return false;
+    const auto [tx, done] = std::move(transactions.front());
+    transactions.pop_front();
+    done(Apply(tx));
+    return true;
+  }
+  // Tells the sender of the oldest transaction that its outcome is unknown, and returns it.
+  RowTransaction LoseOldest() {
+    const auto [tx, done] = std::move(transactions.front());
+    transactions.pop_front();
+    done(RowsReply{});
+    return tx;
+  }
+  RowsReply Apply(const RowTransaction& tx) {
+    RowsReply reply;
+    reply.outcome = StoreOutcome::kDone;
+    for (const auto& [at, revision] : tx.expected) {
+      if (RevisionOf(at) != revision) reply.outcome = StoreOutcome::kConflict;
+      if (const auto it = rows.find(at); it != rows.end()) {
+        reply.rows.push_back(StoredRow{at, it->second, RevisionOf(at), false});
+      }
+    }
+    if (reply.outcome == StoreOutcome::kConflict) return reply;
+    reply.rows.clear();
+    ++newest_;
+    for (const auto& [at, value] : tx.writes) {
+      rows[at] = value;
+      revisions_[at] = Revision(newest_);
     }
+    for (const RowAddress& at : tx.removes) rows.erase(at);
+    return reply;
   }
 
  private:
   std::deque<std::pair<RowRange, RowsCallback>> reads_;
+  // Rows that a test has put there have the first revision.
+  Revision RevisionOf(const RowAddress& at) const {
+    if (rows.count(at) == 0) return Revision();
+    const auto it = revisions_.find(at);
+    return it == revisions_.end() ? Revision(1) : it->second;
+  }
+
+  std::map<RowAddress, Revision> revisions_;
+  std::uint64_t newest_ = 1;
 };
 
 class NoBackends final : public BackendServers {
@@ -82,7 +130,11 @@
   }
   std::optional<WaveOrder> Wave(const StoredRow&) const override { return std::nullopt; }
   std::optional<BackendReport> Backend(const StoredRow&) const override { return std::nullopt; }
-  Result<WorkSpec> Submission(const std::string&) const override { return WorkSpec{}; }
+  Result<WorkSpec> Submission(const std::string&) const override {
+    WorkSpec spec;
+    spec.steps.resize(1);
+    return spec;
+  }
   std::pair<RowAddress, std::string> WaveStatus(std::int64_t, bool) const override { return {}; }
 };
 
@@ -156,3 +208,24 @@
     CHECK_TRUE((*reply)->kind == CallerReply::Kind::kGone);
   }
 }
+
+// Guards against a node that repeats a write in a busy loop, thousands of times a second, while the
+// table service resets its connections at once.
+TEST(EntryNodeCalls, PausesBetweenTheAttemptsOfAWriteThatFailsAtOnce) {
+  const auto submitted = Call(CallKind::kSubmit);
+  int attempts = 0;
+  constexpr int kTick = 10;
+  constexpr int kSecond = 1000;
+  for (int ms = 0; ms < kSecond; ms += kTick) {
+    for (int n = 0; n < 100 && !store.transactions.empty(); ++n) {
+      store.LoseOldest();
+      ++attempts;
+    }
+    now += Millis(kTick);
+    node->Tick(now);
+  }
+  CHECK_FALSE(submitted->has_value());
+  CHECK_TRUE(attempts > 1);
+  constexpr int kMostAttempts = 20;
+  CHECK_TRUE(attempts <= kMostAttempts);
+}
