Record the cancel of an id under which no job is stored

Cause: the cancel found no row, answered and left nothing behind, so the condition of the late write (the row is absent) still held.

Ruled out: the owner's part; a job stored as cancelled was never started.

Change: the cancel writes a mark under the id, on the condition that it has no row, before it answers. A submission that meets the mark is stored as a cancelled job; the id alone stays unknown to readers (410). The owner removes marks after the retention time of ended jobs.

Works because the store decides by the row which of the two comes first.

--- a/coordination/include/sapphirewheel/coordination/stored_job.h
+++ b/coordination/include/sapphirewheel/coordination/stored_job.h
@@ -15,6 +15,12 @@
 // Errors: kInvalidArgument for any text that EncodeStoredJob does not produce.
 [[nodiscard]] Result<StoredJob> DecodeStoredJob(const JobId& id, std::string_view text);
 
+// The row of an id that was cancelled while no job was stored under it. As long as the row exists,
+// a submission of the id that is carried out late fails, and one that is sent again is stored as
+// cancelled.
+[[nodiscard]] std::string EncodeCancelMark();
+[[nodiscard]] bool IsCancelMark(std::string_view text);
+
 // Validates the step numbers, counts and sizes of a submitted job. Errors: kInvalidArgument.
 [[nodiscard]] Result<void> CheckWorkSpec(const WorkSpec& spec);
 // Validates that times, limits and repetitions of a submitted job are in range and that its work
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "entry_node_state.h"
 #include "sapphirewheel/coordination/job_progress.h"
@@ -160,21 +161,43 @@
 // accepted.
 void EntryNode::Impl::Submit(const PendingCallRef& call) {
   RowTransaction tx;
-  tx.expected.emplace_back(rows::Job(call->job), Revision());
+  tx.expected.emplace_back(rows::Job(call->job), call->stored.revision);
   tx.writes.emplace_back(rows::Job(call->job), EncodeStoredJob(call->stored));
   const Millis timeout = std::min(kStoreTimeout, Remaining(*call));
-  ports.store.Commit(
-      tx, timeout, Guard<const RowsReply&>([this, call](const RowsReply& reply) {
-        if (reply.outcome == StoreOutcome::kDone || reply.outcome == StoreOutcome::kConflict) {
-          RememberAccepted(call->job);
-          ReportEvent(NodeEvent::kJobAccepted,
-                      call->job.str() + " queue " + call->stored.queue.str() +
-                          (reply.outcome == StoreOutcome::kDone ? "" : " again"));
-          call->respond(ReplyOfKind(CallerReply::Kind::kAccepted));
-          return;
-        }
-        RetryOrReply(call, reply.outcome, [this, call] { Submit(call); });
-      }));
+  ports.store.Commit(tx, timeout, Guard<const RowsReply&>([this, call](const RowsReply& reply) {
+                       if (reply.outcome == StoreOutcome::kConflict) {
+                         HandleStoredAlready(call, reply);
+                       } else if (reply.outcome == StoreOutcome::kDone) {
+                         Accept(call, call->stored.cancelled ? " as cancelled" : "");
+                       } else {
+                         RetryOrReply(call, reply.outcome, [this, call] { Submit(call); });
+                       }
+                     }));
+}
+
+void EntryNode::Impl::Accept(const PendingCallRef& call, const std::string& detail) {
+  if (!call->stored.cancelled) RememberAccepted(call->job);
+  ReportEvent(NodeEvent::kJobAccepted,
+              call->job.str() + " queue " + call->stored.queue.str() + detail);
+  call->respond(ReplyOfKind(CallerReply::Kind::kAccepted));
+}
+
+// The id has a row: of the same job, or the mark of a cancel, which may be removed meanwhile.
+void EntryNode::Impl::HandleStoredAlready(const PendingCallRef& call, const RowsReply& reply) {
+  const StoredRow* row = FindRow(reply, call->job.str());
+  const bool marked = row == nullptr ? call->stored.cancelled : IsCancelMark(row->value);
+  if (!marked) {
+    Accept(call, " again");
+    return;
+  }
+  // The cancel has been answered, so the job must not run.
+  const bool first = !std::exchange(call->stored.cancelled, true);
+  call->stored.revision = row == nullptr ? Revision() : row->revision;
+  if (first) {
+    Submit(call);
+  } else {
+    RetryOrReply(call, StoreOutcome::kNotDone, [this, call] { Submit(call); });
+  }
 }
 
 void EntryNode::Impl::ReadRow(const PendingCallRef& call, const RowAddress& at,
@@ -219,7 +242,7 @@
 // before it began.
 void EntryNode::Impl::ReadJob(const PendingCallRef& call) {
   ReadRow(call, rows::Job(call->job), [this, call](const StoredRow* row) {
-    if (row == nullptr) {
+    if (row == nullptr || IsCancelMark(row->value)) {
       ReadEnded(call);
       return;
     }
@@ -247,6 +270,10 @@
       CancelEnded(call);
       return;
     }
+    if (IsCancelMark(row->value)) {
+      ReplyGone(call);
+      return;
+    }
     auto job = DecodeStoredJob(call->job, row->value);
     if (!job) {
       call->respond(ErrorReply(job.error()));
@@ -267,29 +294,49 @@
 void EntryNode::Impl::CancelEnded(const PendingCallRef& call) {
   ReadRow(call, rows::Progress(call->job), [this, call](const StoredRow* row) {
     if (row == nullptr) {
-      ReplyGone(call);
+      MarkCancelled(call);
     } else {
       call->respond(ReplyOfKind(CallerReply::Kind::kCancelled));
     }
   });
 }
 
+// For a job that is unknown: its submission may still be on the way to the store.
+void EntryNode::Impl::MarkCancelled(const PendingCallRef& call) {
+  RowTransaction tx;
+  tx.expected.emplace_back(rows::Job(call->job), Revision());
+  tx.writes.emplace_back(rows::Job(call->job), EncodeCancelMark());
+  ports.store.Commit(tx, std::min(kStoreTimeout, Remaining(*call)),
+                     Guard<const RowsReply&>([this, call](const RowsReply& reply) {
+                       if (reply.outcome == StoreOutcome::kDone) {
+                         ReportEvent(NodeEvent::kJobCancelled,
+                                     call->job.str() + " before it was submitted");
+                         ReplyGone(call);
+                       } else {
+                         RetryCancel(call, reply.outcome);
+                       }
+                     }));
+}
+
+// Reads the job again, because its row may have changed.
+void EntryNode::Impl::RetryCancel(const PendingCallRef& call, StoreOutcome outcome) {
+  const bool conflict = outcome == StoreOutcome::kConflict;
+  RetryOrReply(call, conflict ? StoreOutcome::kUnknown : outcome, [this, call] { Cancel(call); });
+}
+
 void EntryNode::Impl::WriteCancel(const PendingCallRef& call, Revision revision) {
   RowTransaction tx;
   tx.expected.emplace_back(rows::Job(call->job), revision);
   tx.writes.emplace_back(rows::Job(call->job), EncodeStoredJob(call->stored));
-  ports.store.Commit(
-      tx, std::min(kStoreTimeout, Remaining(*call)),
-      Guard<const RowsReply&>([this, call](const RowsReply& reply) {
-        if (reply.outcome == StoreOutcome::kDone) {
-          ReportEvent(NodeEvent::kJobCancelled, call->job.str());
-          call->respond(ReplyOfKind(CallerReply::Kind::kCancelled));
-          return;
-        }
-        RetryOrReply(
-            call, reply.outcome == StoreOutcome::kConflict ? StoreOutcome::kUnknown : reply.outcome,
-            [this, call] { Cancel(call); });
-      }));
+  ports.store.Commit(tx, std::min(kStoreTimeout, Remaining(*call)),
+                     Guard<const RowsReply&>([this, call](const RowsReply& reply) {
+                       if (reply.outcome == StoreOutcome::kDone) {
+                         ReportEvent(NodeEvent::kJobCancelled, call->job.str());
+                         call->respond(ReplyOfKind(CallerReply::Kind::kCancelled));
+                         return;
+                       }
+                       RetryCancel(call, reply.outcome);
+                     }));
 }
 
 void EntryNode::Impl::ReadWaiting(const QueueId& queue, const std::string& path,
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -56,6 +56,9 @@
   // Logs and sends an error reply to a call for which nothing was done.
   void Refuse(const std::string& path, const Error& error, const Respond& respond) const;
   void Submit(const PendingCallRef& call);
+  // Logs and answers that the job is stored.
+  void Accept(const PendingCallRef& call, const std::string& detail);
+  void HandleStoredAlready(const PendingCallRef& call, const RowsReply& reply);
   // Reads one row for a call and passes it to `handle_row`, null if it is absent. If the store does
   // not reply, reads again or sends an error reply.
   void ReadRow(const PendingCallRef& call, const RowAddress& at,
@@ -66,7 +69,9 @@
   static void ReplyProgress(const PendingCallRef& call, const StoredRow& row);
   void Cancel(const PendingCallRef& call);
   void CancelEnded(const PendingCallRef& call);
+  void MarkCancelled(const PendingCallRef& call);
   void WriteCancel(const PendingCallRef& call, Revision revision);
+  void RetryCancel(const PendingCallRef& call, StoreOutcome outcome);
   // Logs and answers that the job is not known.
   void ReplyGone(const PendingCallRef& call) const;
   void ReadWaiting(const QueueId& queue, const std::string& path, const Respond& respond,
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -278,6 +278,7 @@
   if (may_order) {
     RemoveEndedJobs();
     RemoveExpiredJobs();
+    RemoveExpiredMarks();
   }
   Commit();
 }
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -201,6 +201,7 @@
   for (const StoredRow& row : loaded_backends) ApplyBackendRow(row);
   std::vector<StoredJob> jobs;
   for (const StoredRow& row : loaded_jobs) {
+    if (RecordCancelMark(row)) continue;
     if (auto job = DecodeJobRow(row)) jobs.push_back(std::move(*job));
   }
   // The shares of teams are taken in the order of acceptance.
@@ -255,7 +256,18 @@
   dispatcher->AddJob(std::move(job), progress, inherited, ports.now());
 }
 
+bool FleetOwner::Impl::RecordCancelMark(const StoredRow& row) {
+  const JobId id(row.at.key);
+  if (row.removed || !IsCancelMark(row.value)) {
+    cancel_marks.Remove(id);
+    return false;
+  }
+  cancel_marks.Add(id, row.revision, ports.now());
+  return true;
+}
+
 void FleetOwner::Impl::ApplyJobRow(const StoredRow& row) {
+  if (RecordCancelMark(row)) return;
   if (auto job = DecodeJobRow(row)) AddJob(std::move(*job), false);
 }
 
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "cancel_marks.h"
 #include "read_pacer.h"
 #include "sapphirewheel/coordination/fleet_owner.h"
 #include "sapphirewheel/coordination/vm_fences.h"
@@ -74,6 +75,8 @@
   [[nodiscard]] bool IsInherited(const StoredJob& job) const;
   void AddJob(StoredJob job, bool inherited);
   void ApplyJobRow(const StoredRow& row);
+  // Updates `cancel_marks`. Returns whether the row is a mark, and not a job.
+  bool RecordCancelMark(const StoredRow& row);
   void ApplyBackendRow(const StoredRow& row);
   void PollFeed(Feed& feed, const std::function<void(const StoredRow&)>& handle_row,
                 const std::function<void()>& resync);
@@ -86,6 +89,7 @@
   void WriteWaveStatus();
   void RemoveEndedJobs();
   void RemoveExpiredJobs();
+  void RemoveExpiredMarks();
 
   // fleet_owner.cc
   void ListVms();
@@ -187,6 +191,8 @@
   std::map<std::string, std::vector<JobId>> removable_jobs;
   MonotonicTime next_row_removal;
   MonotonicTime next_cleanup;
+  CancelMarks cancel_marks;
+  MonotonicTime next_mark_cleanup;
 };
 
 }  // namespace sapphirewheel
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -220,4 +220,26 @@
                      }));
 }
 
+// Removes the marks of cancelled ids for which no submission can be under way any more.
+void FleetOwner::Impl::RemoveExpiredMarks() {
+  const MonotonicTime now = ports.now();
+  if (now < next_mark_cleanup) return;
+  next_mark_cleanup = now + kCleanupInterval;
+  // Each mark takes two entries of the transaction.
+  const auto expired = cancel_marks.Expired(settings.job_retention, kMaxWrites / 2, now);
+  if (expired.empty()) return;
+  RowTransaction tx;
+  for (const auto& [id, revision] : expired) {
+    tx.expected.emplace_back(rows::Job(id), revision);
+    tx.removes.push_back(rows::Job(id));
+  }
+  next_mark_cleanup = now + kStoreTimeout;
+  // After a conflict the feed shows which of the rows are jobs now.
+  ports.store.Commit(tx, kStoreTimeout, OnRows([this, expired](const RowsReply& reply) {
+                       if (reply.outcome != StoreOutcome::kDone) return;
+                       for (const auto& [id, revision] : expired) cancel_marks.Remove(id);
+                       next_mark_cleanup = ports.now() + kCleanupInterval;
+                     }));
+}
+
 }  // namespace sapphirewheel
--- a/coordination/src/stored_job.cc
+++ b/coordination/src/stored_job.cc
@@ -124,6 +124,10 @@
   return job;
 }
 
+std::string EncodeCancelMark() { return R"({"unsubmitted":true})"; }
+
+bool IsCancelMark(std::string_view text) { return text == EncodeCancelMark(); }
+
 Result<void> CheckWorkSpec(const WorkSpec& spec) {
   if (spec.payload.size() > kMaxPayload) {
     return Invalid("the job's text is longer than " + std::to_string(kMaxPayload) + " bytes",
--- a/coordination/tests/entry_node_calls_test.cc
+++ b/coordination/tests/entry_node_calls_test.cc
@@ -209,6 +209,67 @@
   }
 }
 
+// Guards against a job that runs although the call that cancelled it was answered: a submission
+// without a reply was carried out only after it.
+TEST(EntryNodeCalls, ASubmissionThatIsStoredAfterItsCancelDoesNotRun) {
+  const auto submitted = Call(CallKind::kSubmit);
+  const RowTransaction late = store.LoseOldest();
+  store.transactions.clear();
+  const auto cancelled = Call(CallKind::kCancel);
+  store.ServeAll();
+  CHECK_TRUE(cancelled->has_value());
+  CHECK_TRUE((*cancelled)->kind == CallerReply::Kind::kGone);
+  CHECK_TRUE(store.Apply(late).outcome == StoreOutcome::kConflict);
+  const auto row = store.rows.find(rows::Job(kJob));
+  if (row != store.rows.end()) CHECK_FALSE(DecodeStoredJob(kJob, row->second).has_value());
+}
+
+// Guards against a job that runs because its submission is repeated after it was cancelled.
+TEST(EntryNodeCalls, ASubmissionAfterItsCancelIsStoredAsCancelled) {
+  Call(CallKind::kCancel);
+  store.ServeAll();
+  const auto submitted = Call(CallKind::kSubmit);
+  store.ServeAll();
+  CHECK_TRUE(submitted->has_value());
+  CHECK_TRUE((*submitted)->kind == CallerReply::Kind::kAccepted);
+  const auto job = DecodeStoredJob(kJob, store.rows.at(rows::Job(kJob)));
+  CHECK_TRUE(job.has_value());
+  CHECK_TRUE(job.value().cancelled);
+  const auto state = Call(CallKind::kRead);
+  store.ServeAll();
+  CHECK_TRUE(state->has_value());
+  STRCMP_EQUAL("cancelled", (*state)->state.c_str());
+}
+
+// Guards against a job that nobody has submitted being shown because its id was cancelled.
+TEST(EntryNodeCalls, ACancelledIdWithoutASubmissionIsGone) {
+  for (const CallKind kind : {CallKind::kCancel, CallKind::kRead, CallKind::kCancel}) {
+    const auto reply = Call(kind);
+    store.ServeAll();
+    CHECK_TRUE(reply->has_value());
+    CHECK_TRUE((*reply)->kind == CallerReply::Kind::kGone);
+  }
+}
+
+// Guards against a cancel that is answered although a submission was stored while it looked.
+TEST(EntryNodeCalls, ACancelCancelsAJobThatIsStoredMeanwhile) {
+  const auto submitted = Call(CallKind::kSubmit);
+  const auto cancelled = Call(CallKind::kCancel);
+  CHECK_TRUE(store.ServeOne());
+  CHECK_TRUE(store.ServeOne());
+  CHECK_TRUE(store.CommitOldest());
+  CHECK_TRUE(submitted->has_value());
+  store.ServeAll();
+  constexpr Millis kRetryTime{200};
+  now += kRetryTime;
+  node->Tick(now);
+  store.ServeAll();
+  CHECK_TRUE(cancelled->has_value());
+  CHECK_TRUE((*cancelled)->kind == CallerReply::Kind::kCancelled);
+  const auto job = DecodeStoredJob(kJob, store.rows.at(rows::Job(kJob)));
+  CHECK_TRUE(job.has_value() && job.value().cancelled);
+}
+
 // Guards against a node that repeats a write in a busy loop, thousands of times a second, while the
 // table service resets its connections at once.
 TEST(EntryNodeCalls, PausesBetweenTheAttemptsOfAWriteThatFailsAtOnce) {
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -180,6 +180,56 @@
   RunSeeds(settings, [](FleetSim&, int) {});
 }
 
+// Guards against a job that runs although the call that cancelled it was answered: the submission
+// had no reply and is stored late.
+TEST(FleetSchedule, SubmissionsWithoutAReplyAreCancelled) {
+  FleetSim::Settings settings;
+  settings.faults.lost_store_replies = 0.05;
+  settings.faults.late_store_writes = 0.3;
+  settings.cancel_unanswered = 0.8;
+  RunSeeds(settings, [](FleetSim& sim, int round) {
+    // Renewals that are late let leases expire.
+    sim.lease_expiry_forbidden = false;
+    if (round == 0) KillOwner(sim);
+    if (round == 1) sim.DropHistory();
+  });
+}
+
+// Guards against marks of cancelled ids that stay in the store for good, and that are removed too
+// early.
+TEST(FleetSchedule, TheMarkOfACancelledIdLastsAsLongAsTheStateOfAnEndedJob) {
+  FleetSim sim({});
+  sim.RunUntil(1500);
+  const std::int64_t retention = FleetOwner::Settings{}.job_retention.count();
+  const auto runs_after = [&sim](std::int64_t wait, char digit) {
+    StoredJob job;
+    job.id = JobId(std::string(16, digit));
+    job.queue = sim.config.queues[0].id;
+    job.spec.steps.resize(1);
+    job.spec.steps[0].count = 1;
+    job.spec.steps[0].estimate = Millis(1000);
+    FleetSim::ClientJob& known = sim.jobs[job.id];
+    known.id = job.id;
+    known.queue = job.queue;
+    known.spec = job.spec;
+    sim.Cancel(known);
+    sim.RunUntil(sim.now() + wait);
+    // From now on it may run.
+    known.cancel_answered_at.reset();
+    const int starts = sim.starts;
+    CallerCall call{CallKind::kSubmit,    "host",      "/q0/" + job.id.str(), "",
+                    EncodeStoredJob(job), Millis(3000)};
+    std::optional<CallerReply> reply;
+    sim.nodes[0].entry->Handle(call, [&](const CallerReply& it) { reply = it; });
+    sim.RunUntil(sim.now() + 5000);
+    CHECK(reply.has_value() && reply->kind == CallerReply::Kind::kAccepted);
+    return sim.starts > starts;
+  };
+  CHECK_FALSE(runs_after(retention - 1000, 'a'));
+  CHECK(runs_after(retention + 3000, 'b'));
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
+
 // Guards against two runs of a task, and too much on a server, after servers restart under their
 // ids: orders reach the new incarnation before its restart is known, with a lease by the clock of
 // the earlier one or an acknowledgement of its ends, and soon after the server is disconnected.
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -42,6 +43,9 @@
     Faults faults;
     // VMs of a spare pool that the VM service lists; without any, the nodes have no VM service.
     int spare_vms = 0;
+    // Fraction of callers, 0 to 1, that cancel a job whose submission had no definite reply and do
+    // not send it again.
+    double cancel_unanswered = 0;
   };
   // A task's run on a backend server.
   struct Run {
@@ -96,6 +100,8 @@
     bool accepted = false;
     std::int64_t accepted_at = 0;
     bool cancelled = false;
+    // When a cancel was first answered as carried out, or that the job is unknown.
+    std::optional<std::int64_t> cancel_answered_at;
     // A cancel was sent that has no reply, or one that does not tell whether it was carried out.
     bool cancel_unknown = false;
     std::string state;
@@ -191,6 +197,8 @@
   void EndRun(Backend& backend, std::string task, RunEnd how);
   PollReply List(const Backend& backend);
   void CheckStart(const Backend& backend, const StartOrder& order);
+  // Checks that no task is ordered to start long after the cancel of its job was answered.
+  void CheckNotCancelled(const TaskKey& task);
   // Checks that an owner sends no orders after its lease, counted from its last written renewal.
   void CheckLease(Epoch token);
   // The permit of an order must be that of its ownership, and must not have ended.
--- a/coordination/tests/fleet_sim_callers.cc
+++ b/coordination/tests/fleet_sim_callers.cc
@@ -79,6 +79,12 @@
         if (reply.kind == CallerReply::Kind::kAccepted) {
           if (!it.accepted) it.accepted_at = now_;
           it.accepted = true;
+          return;
+        }
+        const bool unknown = reply.error.run == RunState::kUnknown;
+        const double cancels = settings_.cancel_unanswered;
+        if (unknown && cancels > 0 && Draw() < cancels) {
+          Cancel(it);
         } else if (retries > 0) {
           At(now_ + 200, [this, id, path, body, retries] { Submit(id, path, body, retries - 1); });
         }
@@ -95,11 +101,26 @@
                   RunStateName(reply.error.run));
     const bool error = reply.kind == CallerReply::Kind::kError;
     it.cancel_unknown = error && reply.error.run == RunState::kUnknown;
-    if (reply.kind == CallerReply::Kind::kCancelled) it.cancelled = true;
-    if (reply.kind == CallerReply::Kind::kGone && accepted) Violate("LOST: 410 for " + key.str());
+    const bool gone = reply.kind == CallerReply::Kind::kGone;
+    if (gone && accepted) Violate("LOST: 410 for " + key.str());
+    if (!gone && reply.kind != CallerReply::Kind::kCancelled) return;
+    it.cancelled = true;
+    if (!it.cancel_answered_at) it.cancel_answered_at = now_;
   });
 }
 
+void FleetSim::CheckNotCancelled(const TaskKey& task) {
+  // The time in which a cancel that was answered takes effect.
+  constexpr std::int64_t kCancelTime = 3000;
+  const auto job = jobs.find(task.job);
+  if (job == jobs.end() || !job->second.cancel_answered_at) return;
+  const std::int64_t passed = now_ - *job->second.cancel_answered_at;
+  if (passed > kCancelTime) {
+    Violate("UNASKED: " + task.str() + " is started " + std::to_string(passed) +
+            " ms after its cancel was answered");
+  }
+}
+
 void FleetSim::Poll(ClientJob& job) {
   if (!job.accepted) return;
   const std::string path = config.FindQueue(job.queue)->path_prefix + job.id.str();
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -238,6 +238,7 @@
              std::function<void(const OrderReply&)> done) override {
     sim_.CheckLease(order.token);
     sim_.CheckPermit(permit, order.token);
+    sim_.CheckNotCancelled(order.task);
     Send(order.backend, done,
          [this, order](FleetSim::Backend& it) { return sim_.Start(it, order); });
   }
