Limit numbers before they become integers

A floating-point number out of range becomes the least integer on x86-64 and the greatest on arm64: a load in a server's list, a wave's deadline, durations of the settings, completion times by a queue's stretch, and the servers that a backlog needs.

Ruled out by search: char as a number or index, long, casts of bytes, hashes, random distributions and sorts (docs/incidents/number-ranges.md).

Change: TruncatedInt limits what is converted; stretch, target latency and the wanted servers of a pool are limited.

--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -65,6 +65,9 @@
 inline constexpr Resources kMaxResources{10'000'000, 1'000'000'000, 1'000'000};
 // Beyond the year 5000.
 inline constexpr UnixMillis kMaxUnixMillis{100'000'000'000'000};
+// Limits of the target completion time of a job, so that it fits in 64 bits for any job.
+inline constexpr double kMaxStretch = 1e5;
+inline constexpr Millis kMaxTargetLatency = std::chrono::hours(24 * 366);
 
 // One step of a job: identical tasks that start once the steps in `after` are done.
 struct StepSpec {
--- a/coordination/src/pool_autoscaler.cc
+++ b/coordination/src/pool_autoscaler.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double kMillisPerCore = 1000;
+// More than a pool can get; sums over all pools fit in an int.
+constexpr double kMostServers = 1e6;
 // A move whose end has not been observed counts as failed after this time.
 constexpr Millis kMoveTimeout{6000};
 // Delay before a move without a reply is repeated.
@@ -201,13 +203,15 @@
     const double running = static_cast<double>(it.running_cpu) / kMillisPerCore;
     const double cores = long_running + std::max(arriving + backlog / clear_seconds, running);
     const double per_server = std::max(1.0, largest_server_cores_ * settings_.packing_efficiency);
-    pool.wanted = std::max(
-        {settings_.min_servers, it.min_servers, static_cast<int>(std::ceil(cores / per_server))});
+    const double servers = std::min(std::ceil(cores / per_server), kMostServers);
+    pool.wanted = std::max({settings_.min_servers, it.min_servers, static_cast<int>(servers)});
     if (it.steps_without_room > 0) {
       // One server more at a time, and not many more than hold all tasks: a step may wait for a
       // label that further servers do not have either.
       constexpr int kMixedServers = 1;
-      const int most = static_cast<int>(std::ceil(it.long_running_servers)) + kMixedServers;
+      const int most =
+          static_cast<int>(std::min(std::ceil(it.long_running_servers), kMostServers)) +
+          kMixedServers;
       pool.wanted = std::max(pool.wanted, std::min(pool.present + 1, most));
     }
     pool.recent.emplace_back(now, pool.wanted);
--- a/coordination/tests/pool_autoscaler_test.cc
+++ b/coordination/tests/pool_autoscaler_test.cc
@@ -143,6 +143,16 @@
   for (const auto& [vm, pool] : moves) CHECK(pool == PoolId("a"));
 }
 
+// Guards against a huge backlog that adds VMs on one kind of machine only: the number of servers
+// that it needs does not fit into an int, which was then negative on x86-64.
+TEST(PoolAutoscaler, AddsVmsForABacklogOfAnySize) {
+  AddVms("a", 2, 3);
+  AddVms("off", 10, 0);
+  loads[PoolId("a")].waiting_work = 8'000'000'000'000'000'000;
+  RunTicks(0, 2000);
+  LONGS_EQUAL(10, moves.size());
+}
+
 // A pool whose demand grows without bound must not take all VMs.
 TEST(PoolAutoscaler, SharesVmsInProportionToDemand) {
   AddVms("a", 2, 3);
--- a/state/include/sapphirewheel/state/json.h
+++ b/state/include/sapphirewheel/state/json.h
@@ -22,6 +22,9 @@
 [[nodiscard]] int SmallIntField(const boost::json::object& object, std::string_view name,
                                 int fallback = 0);
 [[nodiscard]] int NearestInt(std::int64_t n);
+// The nearest integer towards zero, limited to the range of the result; 0 for a value that is not a
+// number. What a plain conversion of a value out of range yields differs by machine.
+[[nodiscard]] std::int64_t TruncatedInt(double n);
 [[nodiscard]] double DoubleField(const boost::json::object& object, std::string_view name,
                                  double fallback = 0);
 [[nodiscard]] bool BoolField(const boost::json::object& object, std::string_view name,
--- a/state/src/json.cc
+++ b/state/src/json.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/stream_parser.hpp>
+#include <cmath>
 #include <limits>
 
 namespace sapphirewheel {
@@ -50,6 +51,16 @@
   return static_cast<int>(std::clamp<std::int64_t>(n, Limits::min(), Limits::max()));
 }
 
+std::int64_t TruncatedInt(double n) {
+  using Limits = std::numeric_limits<std::int64_t>;
+  // Exact as a floating-point number, unlike the largest integer.
+  constexpr double kLimit = 9223372036854775808.0;
+  if (std::isnan(n)) return 0;
+  if (n >= kLimit) return Limits::max();
+  if (n < -kLimit) return Limits::min();
+  return static_cast<std::int64_t>(n);
+}
+
 int SmallIntField(const boost::json::object& object, std::string_view name, int fallback) {
   return NearestInt(IntField(object, name, fallback));
 }
