--- a/coordination/src/dispatcher_entries.h
+++ b/coordination/src/dispatcher_entries.h
@@ -120,6 +120,13 @@
   [[nodiscard]] bool IsOpen() const { return progress.outcome == JobOutcome::kOpen; }
 };
 
+// Order of jobs that does not depend on where they are in memory.
+struct ById {
+  bool operator()(const JobEntry* a, const JobEntry* b) const {
+    return a->stored.id < b->stored.id;
+  }
+};
+
 // A run that a backend server lists but that is no longer needed, or is unknown.
 struct OrphanRun {
   Resources charge;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -252,8 +252,8 @@
   std::shared_ptr<const DispatchConfig> config;
   std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
   // Jobs that have not ended, and those of them with due times.
-  std::set<JobEntry*> open_jobs;
-  std::set<JobEntry*> timed_jobs;
+  std::set<JobEntry*, ById> open_jobs;
+  std::set<JobEntry*, ById> timed_jobs;
   // Backend servers with starts or stops that may have to be repeated.
   std::set<BackendId> retry_backends;
   std::map<BackendId, std::unique_ptr<BackendEntry>> backends;
