Bound the leases that a restarted server takes by its former clock

Cause: a start without a reply can reach the next incarnation of a server. Its lease is a time on the former clock, so the run may last for the longest lease (10 s); the owner counted the usual one (6.6 s) unless a list or a reply of that incarnation corrected it, and a server that is cut off at once sends neither. Successors knew of the usual lease only, and a late copy of a start that had been repeated and confirmed was not barred after a restart.

That the users' cases had this cause is supposed; the record fits.

Change: such runs count until the longest lease is over, unless the list of VMs shows that the server had ended; late starts are stopped in the new incarnation before their task starts elsewhere; the roster names longer leases; a lost run logs what its lease was computed from.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -153,6 +153,9 @@
   std::optional<MonotonicTime> runs_end_by;
   // Its VM; empty if that is not known.
   VmId vm = VmId();
+  // An order by the clock of an earlier incarnation may have granted a longer lease than the usual
+  // one, until then.
+  std::optional<MonotonicTime> longer_lease_until = std::nullopt;
   bool operator==(const RosterEntry&) const = default;
 };
 using Roster = std::map<BackendId, RosterEntry>;
@@ -223,9 +226,10 @@
   void RoutesSent(const QueueRoutes& routes);
   void RoutesWritten(const QueueRoutes& routes);
 
-  // Takes note of servers of the roster whose VM has left them, by a list of VMs that is newer than
-  // the ownership. Nothing runs there, so nothing waits for their leases.
-  void OnVmList(const std::vector<VmReport>& vms, MonotonicTime now);
+  // Takes note of servers whose VM has left them or is down, by a list of VMs that is newer than
+  // the ownership and describes them as they were at `as_of` or later. Nothing waits for the leases
+  // of those of the roster, nor for starts that were on the way to a server before.
+  void OnVmList(const std::vector<VmReport>& vms, MonotonicTime as_of, MonotonicTime now);
 
   // Jobs stored after `horizon` start only when it has been raised. The owner stores the horizon
   // before it raises it here, so its successor knows that no later job has been started.
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -59,12 +59,15 @@
 void Dispatcher::SetRoster(const Roster& roster, MonotonicTime taken_at) {
   impl_->roster_pending = roster;
   for (auto& [id, entry] : impl_->roster_pending) {
-    const MonotonicTime latest = taken_at + impl_->LeaseBound();
+    const MonotonicTime usual = taken_at + impl_->LeaseBound();
+    const MonotonicTime latest = std::max(usual, entry.longer_lease_until.value_or(usual));
     // A server that replied to the earlier owner may still list ends that nobody has seen, so it is
     // polled once, also when its runs are over because loading took long.
     const MonotonicTime polled = impl_->now_ + kFirstPollTime;
+    const MonotonicTime longest =
+        taken_at + kMaxOrderDelay + Impl::LeaseTime(impl_->settings.max_lease);
     entry.runs_end_by =
-        entry.runs_end_by ? std::min(*entry.runs_end_by, latest) : std::max(latest, polled);
+        entry.runs_end_by ? std::min(*entry.runs_end_by, longest) : std::max(latest, polled);
   }
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
@@ -75,9 +78,14 @@
   for (const auto& [id, backend] : impl_->backends) {
     const bool trusted = backend->registered && impl_->IsTrusted(*backend);
     if (trusted) {
-      roster[id] = {backend->report.pool, std::nullopt, backend->report.vm};
+      RosterEntry& entry = roster[id];
+      entry = {backend->report.pool, std::nullopt, backend->report.vm, std::nullopt};
+      if (backend->longer_lease_until > impl_->now_) {
+        entry.longer_lease_until = backend->longer_lease_until;
+      }
     } else if (backend->HasRuns()) {
-      roster[id] = {backend->report.pool, backend->lease_end, backend->report.vm};
+      roster[id] = {backend->report.pool, impl_->RunsEndBy(*backend), backend->report.vm,
+                    std::nullopt};
     }
   }
   const bool certain = impl_->roster_ever_written && impl_->given_up.empty();
@@ -99,10 +107,17 @@
   impl_->place_due = true;
 }
 
-void Dispatcher::OnVmList(const std::vector<VmReport>& vms, MonotonicTime now) {
-  if (impl_->roster_pending.empty()) return;
+void Dispatcher::OnVmList(const std::vector<VmReport>& vms, MonotonicTime as_of,
+                          MonotonicTime now) {
   std::map<VmId, const VmReport*> by_vm;
   for (const VmReport& it : vms) by_vm[it.vm] = &it;
+  for (auto& [id, backend] : impl_->backends) {
+    const auto listed = by_vm.find(backend->report.vm);
+    if (listed == by_vm.end()) continue;
+    const bool ended = HasLeft(*listed->second, id, backend->report.pool) ||
+                       listed->second->state == VmState::kDown;
+    if (ended) Impl::RecordVmWithoutServer(*backend, as_of);
+  }
   std::vector<BackendId> ended;
   for (const auto& [id, entry] : impl_->roster_pending) {
     const auto listed = by_vm.find(entry.vm);
@@ -136,6 +151,10 @@
     slot->report = report;
     slot->next_poll = now;
     slot->last_reply = now;
+    const auto listed = impl_->roster_pending.find(report.id);
+    if (listed != impl_->roster_pending.end() && listed->second.longer_lease_until) {
+      slot->lease_end = slot->longer_lease_until = *listed->second.longer_lease_until;
+    }
     impl_->Report(DecisionKind::kBackendSeen, JobId(), "", report.id, RunNumber(),
                   "registered in pool " + report.pool.str());
     if (report.draining) impl_->BeginDraining(*slot, report);
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -131,25 +131,6 @@
   }
 }
 
-BackendClock Dispatcher::Impl::NewLeaseEnd(const BackendEntry& backend) const {
-  const auto since_read = static_cast<double>((now_ - backend.clock_read_at).count());
-  const auto passed = static_cast<std::int64_t>(since_read * (1 - kClockDrift));
-  return BackendClock(backend.clock->count() + passed + settings.lease.count());
-}
-
-void Dispatcher::Impl::ExtendLease(BackendEntry& backend) {
-  backend.lease_end = std::max(backend.lease_end, now_ + LeaseBound());
-}
-
-// Records the lease that an order granted, by the backend server's clock in its reply. It may be
-// longer than intended if the clock has restarted.
-void Dispatcher::Impl::RecordLease(BackendEntry& backend, BackendClock until,
-                                   const std::optional<BackendClock>& clock) {
-  if (!clock) return;
-  const Millis left(std::min(until.count() - clock->count(), settings.max_lease.count()));
-  backend.lease_end = std::max(backend.lease_end, now_ + LeaseTime(left));
-}
-
 void Dispatcher::Impl::HandleEnd(BackendEntry& backend, const ListedEnd& end) {
   if (backend.orphans.erase({end.task, end.run}) > 0) place_due = true;
   const TaskRef ref = FindStarted(end.task);
@@ -236,6 +217,9 @@
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
+      // The order that started it may have granted it a lease by the clock of an earlier
+      // incarnation.
+      backend.lease_end = RunsEndBy(backend);
       task.phase = TaskPhase::kRunning;
       task.confirmed_at = now_;
       task.last_progress = now_;
@@ -292,6 +276,10 @@
     if (task.confirmed_at >= sent) continue;
     const bool stopped = task.phase == TaskPhase::kStopping && task.stop_confirmed;
     if (stopped || task.phase == TaskPhase::kRunning) {
+      if (!stopped && MayStartLate(backend, key, task.run)) {
+        BeginStop(key, ref, "its start may still reach the new incarnation");
+        continue;
+      }
       if (!stopped) {
         Report(DecisionKind::kTaskLost, key.job, key.str(), backend.report.id, task.run,
                "listed neither as running nor as ended");
@@ -303,78 +291,19 @@
                 [&](const auto& orphan) { return listed.count(orphan.first.first) == 0; });
 }
 
+void Dispatcher::Impl::MarkRunLost(const BackendEntry& backend, const TaskKey& key,
+                                   const std::string& why) {
+  const TaskRef ref = Find(key);
+  Report(DecisionKind::kTaskLost, key.job, key.str(), backend.report.id, ref.task->run, why);
+  Requeue(key, ref);
+}
+
 void Dispatcher::Impl::MarkRunsLost(BackendEntry& backend, const std::string& why) {
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
-  for (const TaskKey& key : keys) {
-    const TaskRef ref = Find(key);
-    Report(DecisionKind::kTaskLost, key.job, key.str(), backend.report.id, ref.task->run, why);
-    Requeue(key, ref);
-  }
+  for (const TaskKey& key : keys) MarkRunLost(backend, key, why);
   backend.orphans.clear();
 }
 
-// The backend server has restarted under the same id, and its end numbers restart too. The lists of
-// the new incarnation show which runs are gone, as some may already have been started there.
-void Dispatcher::Impl::HandleRestart(BackendEntry& backend, UnixMillis started_at) {
-  Report(DecisionKind::kBackendGone, JobId(), "", backend.report.id, RunNumber(),
-         "restarted, start time " + std::to_string(started_at.count()));
-  backend.report.started_at = started_at;
-  backend.start_changed_at = now_;
-  backend.has_replied = false;
-  backend.clock.reset();
-  backend.ends_seen = backend.ends_acknowledged = backend.ends_ack_sent = 0;
-  backend.unacknowledged.clear();
-  backend.next_poll = now_;
-}
-
-// Until `latest` the backend server may receive a lease until `until`, which is a time of another
-// incarnation's clock.
-void Dispatcher::Impl::ExpectLongerLease(BackendEntry& backend, MonotonicTime latest,
-                                         BackendClock until) const {
-  const Millis left(until.count() - backend.clock->count());
-  if (left <= settings.lease) return;
-  const MonotonicTime end =
-      std::min(now_ + LeaseTime(left), std::max(now_, latest) + LeaseTime(settings.max_lease));
-  backend.lease_end = std::max(backend.lease_end, end);
-  // What is placed then may run for the usual lease, at least until the longer one is over.
-  backend.unusable_until = std::max(backend.unusable_until, end - LeaseBound());
-}
-
-void Dispatcher::Impl::RecordClock(BackendEntry& backend, const PollReply& reply) {
-  const bool restarted =
-      backend.listed_incarnation && *backend.listed_incarnation != reply.started_at;
-  backend.listed_incarnation = reply.started_at;
-  backend.clock = reply.clock;
-  backend.clock_read_at = now_;
-  if (!restarted) return;
-  const auto longest = std::exchange(backend.longest_lease, std::nullopt);
-  if (!longest) return;
-  // Only orders that were sent since it has started can have reached it.
-  const MonotonicTime started = now_ - LeaseTime(Millis(reply.clock.count()));
-  if (backend.last_lease_order && *backend.last_lease_order + kOrderDelivery > started) {
-    ExpectLongerLease(backend, *backend.last_lease_order + kOrderDelivery, *longest);
-  }
-  if (backend.last_lease_unanswered && *backend.last_lease_unanswered > started) {
-    ExpectLongerLease(backend, *backend.last_lease_unanswered + kMaxOrderDelay, *longest);
-  }
-}
-
-void Dispatcher::Impl::RecordLeaseOrder(BackendEntry& backend, BackendClock until) {
-  backend.last_lease_order = now_;
-  backend.longest_lease = std::max(backend.longest_lease.value_or(until), until);
-  ExtendLease(backend);
-}
-
-// An order that extends the lease to `until` had no reply.
-void Dispatcher::Impl::RecordUnansweredLease(BackendEntry& backend,
-                                             const std::optional<BackendClock>& until) {
-  if (!until) return;
-  backend.last_lease_unanswered = now_;
-  if (!backend.clock) return;
-  const bool other_clock = until->count() > NewLeaseEnd(backend).count() + kLeaseSlack.count();
-  if (other_clock) ExpectLongerLease(backend, now_ + kMaxOrderDelay, *until);
-}
-
 // The pause between two polls of a backend server. An owner that is short of processor time polls
 // less often, so that each poll returns more ends.
 Millis Dispatcher::Impl::PollPause() const {
@@ -415,6 +344,7 @@
   if (backend == nullptr) return;
   if (reply.outcome == OrderOutcome::kUnknown) {
     impl_->RecordUnansweredLease(*backend, order.lease_until);
+    impl_->RecordUnansweredStart(*backend, order.task, order.run);
   }
   const TaskRef ref = impl_->Find(order.task);
   if (!ref || ref.task->backend != backend || ref.task->run != order.run) return;
@@ -477,7 +407,9 @@
   impl_->now_ = now;
   BackendEntry* backend = impl_->ProcessReply(order.backend, order.address, reply);
   if (backend == nullptr) return;
-  if (reply.outcome != OrderOutcome::kDone) impl_->RecordMissingReply(*backend);
+  const bool done = reply.outcome == OrderOutcome::kDone;
+  if (!done) impl_->RecordMissingReply(*backend);
+  impl_->RecordStopReply(*backend, order, done);
   if (const auto orphan = backend->orphans.find({order.task, order.run});
       orphan != backend->orphans.end()) {
     orphan->second.order_in_flight = false;
--- a/coordination/src/dispatcher_entries.h
+++ b/coordination/src/dispatcher_entries.h
@@ -136,6 +136,21 @@
   MonotonicTime retry_at;
 };
 
+// A start that had no reply. It may still be carried out, also by a later incarnation, to which its
+// lease seems longer because that incarnation's clock has started anew.
+struct UnansweredStart {
+  // When it was given up.
+  MonotonicTime at;
+  // The incarnation in which it cannot begin another run: the one that was known then, or a later
+  // one in which the run was stopped.
+  UnixMillis harmless_in;
+  bool stop_in_flight = false;
+  MonotonicTime retry_at;
+  // The VM did not run the backend server when the order was too old to be on the way, so that only
+  // a late copy of it is left.
+  bool not_delivered = false;
+};
+
 struct BackendEntry {
   BackendReport report;
   bool registered = true;
@@ -181,6 +196,11 @@
   std::optional<MonotonicTime> last_lease_unanswered;
   // After a restart, until a lease by the clock of the earlier incarnation no longer matters.
   MonotonicTime unusable_until;
+  // Until then such a lease may last, which a successor has to know.
+  MonotonicTime longer_lease_until;
+  // An incarnation whose list has not been received yet has confirmed a start.
+  bool runs_in_unlisted = false;
+  std::map<std::pair<TaskKey, RunNumber>, UnansweredStart> unanswered_starts;
   // Start time of the incarnation that sent the last list.
   std::optional<UnixMillis> listed_incarnation;
   // When its start time last changed; polls sent later reach that incarnation or a later one.
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -151,19 +151,28 @@
     hooks.stop(StopOrder{backend.report.id, backend.report.address, settings.token, run.first,
                          run.second});
   }
-  return open;
+  const bool late = StopLateStarts(backend);
+  return open || late;
+}
+
+void Dispatcher::Impl::EndLease(BackendEntry& backend) {
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) {
+    if (now_ <= RunEndsBy(backend, key)) continue;
+    MarkRunLost(backend, key, "its lease has ended: " + DescribeLease(backend));
+  }
+  backend.orphans.clear();
+  // Its next list shows the ends, which have to be acknowledged.
+  backend.has_replied = false;
 }
 
 void Dispatcher::Impl::ExpireLeases() {
   std::erase_if(backends, [&](const auto& row) {
     BackendEntry& backend = *row.second;
-    if (backend.HasRuns() && now_ > backend.lease_end) {
-      MarkRunsLost(backend, "its lease has ended");
-      // Its next list shows the ends, which have to be acknowledged.
-      backend.has_replied = false;
-    }
+    if (backend.HasRuns() && now_ > backend.lease_end) EndLease(backend);
+    ForgetLateStarts(backend);
     const bool forget = !backend.registered && !backend.HasRuns() && !backend.poll_in_flight &&
-                        backend.unacknowledged.empty() &&
+                        backend.unacknowledged.empty() && backend.unanswered_starts.empty() &&
                         (backend.ends_ack_sent >= backend.ends_acknowledged || backend.failing);
     if (forget) {
       pool_servers_valid = false;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -81,14 +81,7 @@
   void ReconcileUnlisted(BackendEntry& backend, const std::set<TaskKey>& listed,
                          MonotonicTime sent);
   void MarkRunsLost(BackendEntry& backend, const std::string& why);
-  void HandleRestart(BackendEntry& backend, UnixMillis started_at);
-  // Takes the clock of a list, and notices if an incarnation sends its first one.
-  void RecordClock(BackendEntry& backend, const PollReply& reply);
-  // A lease by the clock of an earlier incarnation may begin until `latest`.
-  void ExpectLongerLease(BackendEntry& backend, MonotonicTime latest, BackendClock until) const;
-  // An order is sent that extends the lease to `until`.
-  void RecordLeaseOrder(BackendEntry& backend, BackendClock until);
-  void RecordUnansweredLease(BackendEntry& backend, const std::optional<BackendClock>& until);
+  void MarkRunLost(const BackendEntry& backend, const TaskKey& key, const std::string& why);
   void HandleReplaced(BackendEntry& backend);
   [[nodiscard]] Millis PollPause() const;
   // Updates the mean interval between ticks.
@@ -100,11 +93,45 @@
   void BeginDraining(BackendEntry& backend, const BackendReport& report) const;
   void RecordMissingReply(BackendEntry& backend);
 
-  // dispatcher_orders.cc
+  // dispatcher_leases.cc
   [[nodiscard]] BackendClock NewLeaseEnd(const BackendEntry& backend) const;
   void ExtendLease(BackendEntry& backend);
   void RecordLease(BackendEntry& backend, BackendClock until,
                    const std::optional<BackendClock>& clock);
+  // The lease may last until `end` because its order was computed by an earlier incarnation's
+  // clock.
+  static void KeepLongerLease(BackendEntry& backend, MonotonicTime end);
+  void HandleRestart(BackendEntry& backend, UnixMillis started_at);
+  // Takes the clock of a list, and notices if an incarnation sends its first one.
+  void RecordClock(BackendEntry& backend, const PollReply& reply);
+  // A lease by the clock of an earlier incarnation may begin until `latest`.
+  void ExpectLongerLease(BackendEntry& backend, MonotonicTime latest, BackendClock until) const;
+  // An order is sent that extends the lease to `until`.
+  void RecordLeaseOrder(BackendEntry& backend, BackendClock until);
+  void RecordUnansweredLease(BackendEntry& backend, const std::optional<BackendClock>& until);
+  // For the log: what the end of the lease was computed from.
+  [[nodiscard]] std::string DescribeLease(const BackendEntry& backend) const;
+
+  // dispatcher_unanswered.cc
+  void RecordUnansweredStart(BackendEntry& backend, const TaskKey& key, RunNumber run) const;
+  // Prepares the stops of runs that the new incarnation may still begin.
+  void ExpectLateStarts(BackendEntry& backend);
+  // Whether a start of the run may still be carried out by the present incarnation.
+  [[nodiscard]] bool MayStartLate(const BackendEntry& backend, const TaskKey& key,
+                                  RunNumber run) const;
+  void RecordStopReply(BackendEntry& backend, const StopOrder& order, bool done) const;
+  // Stops runs that the present incarnation may still begin and that no task waits for. Returns
+  // whether any are still open.
+  bool StopLateStarts(BackendEntry& backend);
+  // When the run has ended at the latest, unless a further order extends the lease.
+  [[nodiscard]] MonotonicTime RunEndsBy(const BackendEntry& backend, const TaskKey& key);
+  // The same for all runs of the backend server.
+  [[nodiscard]] MonotonicTime RunsEndBy(const BackendEntry& backend);
+  // The VM did not run the backend server at that time.
+  static void RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of);
+  void ForgetLateStarts(BackendEntry& backend) const;
+
+  // dispatcher_orders.cc
   // Whether it replies, so that its lease may be extended if it is also in the written roster.
   [[nodiscard]] bool IsTrusted(const BackendEntry& backend) const;
   // Whether the last written roster lets it have new work.
@@ -117,6 +144,8 @@
   // Repeats starts and stops without a reply. Returns whether any are still open.
   bool SendRetries(BackendEntry& backend);
   void ExpireLeases();
+  // Gives up the runs whose lease has ended.
+  void EndLease(BackendEntry& backend);
   void StopStuckTasks(BackendEntry& backend);
   void Evacuate(BackendEntry& backend);
   // Stops a long-running task, which then starts on `target`.
--- /dev/null
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -0,0 +1,98 @@
+#include <algorithm>
+
+#include "dispatcher_state.h"
+
+namespace sapphirewheel {
+
+void Dispatcher::Impl::RecordUnansweredStart(BackendEntry& backend, const TaskKey& key,
+                                             RunNumber run) const {
+  UnansweredStart& start = backend.unanswered_starts[{key, run}];
+  start.at = now_;
+  start.harmless_in = backend.report.started_at;
+  start.not_delivered = false;
+}
+
+void Dispatcher::Impl::ExpectLateStarts(BackendEntry& backend) {
+  if (backend.unanswered_starts.empty()) return;
+  retry_backends.insert(backend.report.id);
+  for (const TaskKey& key : backend.tasks) {
+    TaskState& task = *Find(key).task;
+    const bool stopped = task.phase == TaskPhase::kStopping && task.stop_confirmed;
+    if (!stopped || !MayStartLate(backend, key, task.run)) continue;
+    // The earlier incarnation has confirmed the stop, not the present one.
+    task.stop_confirmed = false;
+    task.retry_at = now_;
+  }
+}
+
+bool Dispatcher::Impl::MayStartLate(const BackendEntry& backend, const TaskKey& key,
+                                    RunNumber run) const {
+  const auto it = backend.unanswered_starts.find({key, run});
+  if (it == backend.unanswered_starts.end()) return false;
+  return it->second.harmless_in != backend.report.started_at &&
+         now_ <= it->second.at + kMaxOrderDelay;
+}
+
+void Dispatcher::Impl::RecordStopReply(BackendEntry& backend, const StopOrder& order,
+                                       bool done) const {
+  const auto it = backend.unanswered_starts.find({order.task, order.run});
+  if (it == backend.unanswered_starts.end()) return;
+  it->second.stop_in_flight = false;
+  it->second.retry_at = now_ + kStopRetry;
+  if (done) it->second.harmless_in = backend.report.started_at;
+}
+
+bool Dispatcher::Impl::StopLateStarts(BackendEntry& backend) {
+  bool open = false;
+  for (auto& [run, start] : backend.unanswered_starts) {
+    const auto& [key, number] = run;
+    if (!MayStartLate(backend, key, number)) continue;
+    const TaskRef ref = Find(key);
+    const bool current = ref && ref.task->backend == &backend && ref.task->run == number;
+    if (current) continue;
+    open = true;
+    // The stop has to reach the present incarnation.
+    if (backend.failing || !backend.has_replied) continue;
+    if (start.stop_in_flight || now_ < start.retry_at) continue;
+    start.stop_in_flight = true;
+    Report(DecisionKind::kTaskStopped, key.job, key.str(), backend.report.id, number,
+           "its start, without a reply " + std::to_string((now_ - start.at).count()) +
+               " ms ago, may reach the new incarnation");
+    hooks.stop(StopOrder{backend.report.id, backend.report.address, settings.token, key, number});
+  }
+  return open;
+}
+
+MonotonicTime Dispatcher::Impl::RunEndsBy(const BackendEntry& backend, const TaskKey& key) {
+  const TaskState& task = *Find(key).task;
+  const auto it = backend.unanswered_starts.find({key, task.run});
+  if (it == backend.unanswered_starts.end()) return backend.lease_end;
+  const MonotonicTime at = it->second.at;
+  // Otherwise only late copies of it are left, which do not matter to an incarnation that runs it.
+  if (task.confirmed_at > at || it->second.not_delivered) return backend.lease_end;
+  const bool restarted =
+      backend.listed_incarnation && *backend.listed_incarnation != backend.report.started_at;
+  const MonotonicTime last = std::max(at, backend.last_lease_order.value_or(at));
+  const Millis delivery = restarted ? kMaxOrderDelay : kOrderDelivery;
+  return std::max(backend.lease_end, last + delivery + LeaseTime(settings.max_lease));
+}
+
+MonotonicTime Dispatcher::Impl::RunsEndBy(const BackendEntry& backend) {
+  MonotonicTime end = backend.lease_end;
+  for (const TaskKey& key : backend.tasks) end = std::max(end, RunEndsBy(backend, key));
+  return end;
+}
+
+void Dispatcher::Impl::RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of) {
+  for (auto& [run, start] : backend.unanswered_starts) {
+    start.not_delivered = start.not_delivered || as_of > start.at + kOrderDelivery;
+  }
+}
+
+void Dispatcher::Impl::ForgetLateStarts(BackendEntry& backend) const {
+  const Millis keep = kMaxOrderDelay + LeaseTime(settings.max_lease);
+  std::erase_if(backend.unanswered_starts,
+                [&](const auto& it) { return now_ > it.second.at + keep; });
+}
+
+}  // namespace sapphirewheel
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -89,7 +89,9 @@
         next_vm_list = ports.now() + kVmListInterval;
         if (!newer_than_roster) next_vm_list = std::min(next_vm_list, taken_at + kMaxVmListAge);
         if (!reply.complete) return;
-        if (newer_than_roster) dispatcher->OnVmList(reply.vms, ports.now());
+        if (newer_than_roster) {
+          dispatcher->OnVmList(reply.vms, requested - kMaxVmListAge, ports.now());
+        }
         if (!std::exchange(fences_queued, true) && lease.token() > Epoch(1)) {
           fences.Queue(reply.vms, dispatcher->Backends());
         }
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kFollowWait{1900};
+// Index of a roster entry's field with the end of a longer lease.
+constexpr std::size_t kLongerLeaseField = 3;
 
 }  // namespace
 
@@ -55,9 +57,13 @@
   boost::json::object row;
   for (const auto& [id, entry] : entries) {
     boost::json::array value{entry.pool.str(), nullptr, entry.vm.str()};
-    if (entry.runs_end_by && store_now.count() > 0) {
-      value[1] = store_now.count() + (*entry.runs_end_by - store_asked_at).count();
-    }
+    const auto put = [&](std::size_t at, const std::optional<MonotonicTime>& time) {
+      if (!time || store_now.count() == 0) return;
+      if (value.size() <= at) value.resize(at + 1);
+      value[at] = store_now.count() + (*time - store_asked_at).count();
+    };
+    put(1, entry.runs_end_by);
+    put(kLongerLeaseField, entry.longer_lease_until);
     row[id.str()] = std::move(value);
   }
   return boost::json::serialize(row);
@@ -71,10 +77,14 @@
     if (!value.is_array() || value.get_array().empty()) continue;
     const boost::json::array& fields = value.get_array();
     if (!fields[0].is_string()) continue;
-    RosterEntry entry{PoolId(std::string(fields[0].get_string())), std::nullopt, VmId()};
-    if (fields.size() > 1 && fields[1].is_int64()) {
-      entry.runs_end_by = store_read_at + Millis(fields[1].get_int64() - store_now.count());
-    }
+    RosterEntry entry;
+    entry.pool = PoolId(std::string(fields[0].get_string()));
+    const auto time_at = [&](std::size_t at) -> std::optional<MonotonicTime> {
+      if (fields.size() <= at || !fields[at].is_int64()) return std::nullopt;
+      return store_read_at + Millis(fields[at].get_int64() - store_now.count());
+    };
+    entry.runs_end_by = time_at(1);
+    entry.longer_lease_until = time_at(kLongerLeaseField);
     if (fields.size() > 2 && fields[2].is_string()) {
       entry.vm = VmId(std::string(fields[2].get_string()));
     }
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -361,16 +361,16 @@
   Advance(1000);
   std::vector<VmReport> vms{{VmId("v1"), PoolId("p"), VmState::kUp, BackendId("b1")},
                             {VmId("v2"), PoolId("p"), VmState::kUp, BackendId("gone")}};
-  dispatcher->OnVmList(vms, Now());
+  dispatcher->OnVmList(vms, Now(), Now());
   Advance(100);
   LONGS_EQUAL(0, starts.size());
   // It may be cut off, and its tasks run on.
   vms[1].state = VmState::kDown;
-  dispatcher->OnVmList(vms, Now());
+  dispatcher->OnVmList(vms, Now(), Now());
   Advance(100);
   LONGS_EQUAL(0, starts.size());
   vms[1] = {VmId("v2"), PoolId("q"), VmState::kUp, BackendId("next")};
-  dispatcher->OnVmList(vms, Now());
+  dispatcher->OnVmList(vms, Now(), Now());
   Advance(100);
   LONGS_EQUAL(1, starts.size());
 }
@@ -386,7 +386,7 @@
   AddJob("j1", {Step(1, 1000)}, "", true);
   Advance(1000);
   const VmReport listed{VmId("v2"), PoolId("q"), VmState::kUp, BackendId("cut-off")};
-  dispatcher->OnVmList({listed}, Now());
+  dispatcher->OnVmList({listed}, Now(), Now());
   Advance(100);
   LONGS_EQUAL(0, starts.size());
 }
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -138,3 +138,125 @@
   Advance(1500);
   LONGS_EQUAL(1, starts.size());
 }
+
+// Guards against two runs of a task: a start without a reply was taken by the next incarnation,
+// whose clock started anew, so that it holds the longest lease; then the server is disconnected.
+TEST(DispatcherRestart, ARunThatTheNextIncarnationTookEndsByTheLongestLease) {
+  constexpr int kLongestLease = 10'000;
+  constexpr int kOrderTimeout = 600;
+  for (const bool entry : {false, true}) {
+    now_ms = 100'000;
+    started_at = 1;
+    starts.clear();
+    running.clear();
+    silent.clear();
+    MakeDispatcher(1);
+    AddBackend("b1");
+    AddBackend("b2");
+    Advance(500);
+    AddJob("j1", {Step(1, 1000)});
+    silent = {BackendId("b1"), BackendId("b2")};
+    Advance(20);
+    LONGS_EQUAL(1, starts.size());
+    const StartOrder first = starts[0];
+    const int sent = now_ms;
+    silent = {first.backend};
+    Advance(kOrderTimeout);
+    dispatcher->OnStart(first, {OrderOutcome::kUnknown, std::nullopt}, Now());
+    started_at = 2;
+    if (entry) AddBackend(first.backend.str().c_str());
+    started_at = 1;
+    const auto elsewhere = [&] {
+      return std::any_of(starts.begin(), starts.end(),
+                         [&](const StartOrder& it) { return it.backend != first.backend; });
+    };
+    constexpr int kLongEnough = 30'000;
+    while (!elsewhere() && now_ms < sent + kLongEnough) Advance(100);
+    CHECK(elsewhere());
+    CHECK(now_ms - sent >= kLongestLease);
+  }
+}
+
+// Guards against tasks that wait for the longest lease of a server that has ended: its VM was down
+// when the start could no longer be on the way.
+TEST(DispatcherRestart, ARunOfAServerWhoseVmIsDownEndsByTheUsualLease) {
+  constexpr int kOrderTimeout = 600;
+  constexpr int kLeaseBound = 6600;
+  AddBackend("b1");
+  Advance(500);
+  AddJob("j1", {Step(1, 1000)});
+  silent = {BackendId("b1")};
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  Advance(kOrderTimeout);
+  dispatcher->OnStart(starts[0], {OrderOutcome::kUnknown, std::nullopt}, Now());
+  Advance(1000);
+  const std::vector<VmReport> vms = {VmReport{VmId(), PoolId("p"), VmState::kDown, BackendId()}};
+  dispatcher->OnVmList(vms, Now(), Now());
+  const auto polls_sent = AdvanceWithoutReplies(1000);
+  const int last = now_ms;
+  AddBackend("b2");
+  while (starts.size() == 1 && now_ms < last + kLeaseBound) Advance(100);
+  CHECK(starts.size() > 1);
+  CHECK(starts.back().backend == BackendId("b2"));
+}
+
+// Guards against two runs of a task: a start without a reply was repeated and confirmed, and the
+// first order reaches a later incarnation, which knows nothing of the run.
+TEST(DispatcherRestart, ALateStartIsBarredInTheNextIncarnationBeforeTheTaskStartsElsewhere) {
+  AddBackend("b1");
+  Advance(500);
+  AddJob("j1", {Step(1, 1000)});
+  silent = {BackendId("b1")};
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  dispatcher->OnStart(starts[0], {OrderOutcome::kUnknown, std::nullopt}, Now());
+  silent.clear();
+  Advance(1000);
+  CHECK(starts.size() > 1);
+  LONGS_EQUAL(starts[0].run.count(), starts.back().run.count());
+  AddBackend("b2");
+  Advance(500);
+  const std::size_t before = starts.size();
+  running[BackendId("b1")].clear();
+  // All servers of the fixture have the same start time.
+  started_at = 2;
+  Advance(1000);
+  LONGS_EQUAL(1, stops.size());
+  CHECK(stops[0].backend == BackendId("b1"));
+  LONGS_EQUAL(starts[0].run.count(), stops[0].run.count());
+  LONGS_EQUAL(before, starts.size());
+  dispatcher->OnStop(stops[0], {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  Advance(1000);
+  CHECK(starts.size() > before);
+  CHECK(starts.back().run.count() > starts[0].run.count());
+}
+
+// Guards against two runs of a task after a change of owner: a server holds a longer lease than the
+// usual one, because an order by the clock of its earlier incarnation was carried out.
+TEST(DispatcherRestart, ASuccessorWaitsForALeaseOfAnEarlierClock) {
+  now_ms = 100'000;
+  MakeDispatcher(1);
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(500);
+  const auto sent = AdvanceWithoutReplies(700);
+  CHECK(!sent.empty() && sent.back().lease_until.has_value());
+  ReplyAsRestarted(sent.back(), 300);
+  const int known = now_ms;
+  const auto roster = dispatcher->RosterToWrite();
+  CHECK(roster.has_value());
+  constexpr int kTakeover = 1300;
+  now_ms += kTakeover;
+  MakeDispatcher(2);
+  dispatcher->SetRoster(*roster, Now());
+  starts.clear();
+  silent = {BackendId("b1")};
+  AddBackend("b2");
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  constexpr int kLongestLease = 10'000;
+  for (int n = 0; n < 200 && starts.empty(); ++n) Advance(100);
+  LONGS_EQUAL(1, starts.size());
+  CHECK(now_ms - known >= kLongestLease - 700);
+}
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -254,6 +254,37 @@
   });
 }
 
+// Guards against two runs of a task: a server that is back under its id takes a start that was
+// meant for its former life, whose clock was far ahead, and is disconnected before its first list.
+TEST(FleetSchedule, RestartedServersTakeOrdersOfTheirFormerLife) {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 0.5;
+  settings.capacity = {16'000, 100'000, 0};
+  settings.faults.calls_to_next_incarnation = 0.7;
+  settings.faults.lost_order_replies = 0.2;
+  RunSeeds(settings, [](FleetSim& sim, int) {
+    sim.lease_expiry_forbidden = false;
+    // Their starts are on the way when the servers restart.
+    constexpr int kJobs = 8;
+    for (int n = 0; n < kJobs; ++n) sim.SubmitRandomJob();
+    for (auto& [id, backend] : sim.backends) {
+      if (sim.Draw(2) == 0) continue;
+      sim.At(sim.now() + 10 + sim.Draw(150), [&sim, id = id] {
+        if (!sim.backends.at(id).alive) return;
+        const std::int64_t down_for = 50 + sim.Draw(500);
+        sim.CrashBackend(id, down_for, true, sim.Draw(3000));
+        sim.At(sim.now() + down_for + sim.Draw(200), [&sim, id] {
+          sim.backends.at(id).disconnected = true;
+          sim.At(sim.now() + 3000 + sim.Draw(9000), [&sim, id] {
+            sim.backends.at(id).disconnected = false;
+            sim.backends.at(id).reconnected_at = sim.now();
+          });
+        });
+      });
+    }
+  });
+}
+
 // Guards against owners that fill their link with the stored state, so that their renewals come too
 // late and the ownership passes from one to the next without any work being placed: 2 Mbit/s and
 // 1,000 waiting jobs, as on the small twin of the large site after all its nodes were killed.
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -26,7 +26,7 @@
       backend.report.id = BackendId("b" + std::to_string(n) + "-" + std::to_string(k));
       backend.report.pool = pool;
       backend.report.address = "10.0.0.1:1";
-      backend.report.capacity = {8000, 16000, 0};
+      backend.report.capacity = settings.capacity;
       backend.report.labels = {"a", "rack" + std::to_string(k / 2)};
       backend.report.started_at = UnixMillis(kEpoch);
       backends[backend.report.id] = backend;
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -28,6 +28,9 @@
     double lost_order_replies = 0;
     double late_orders = 0;
     double late_polls = 0;
+    // Of the calls to a backend server that is down, those that its next incarnation carries out if
+    // it is up before they time out, as a connect that the kernel repeats.
+    double calls_to_next_incarnation = 0;
   };
   struct Settings {
     std::uint64_t seed = 1;
@@ -35,12 +38,15 @@
     // Capability of the VM of each node, in percent; 100 for nodes that are not listed.
     std::vector<int> capabilities;
     int backends_per_pool = 4;
+    Resources capacity{8000, 16'000, 0};
     int pools = 2;
     // Rate of replies of the table service to each node; 0 if they take no time.
     std::int64_t link_bytes_per_ms = 0;
     // Minimum size of the payload of jobs.
     std::size_t payload_bytes = 0;
     Faults faults;
+    // Fraction of jobs whose tasks run until they are cancelled, 0 to 1.
+    double long_running_jobs = 0.1;
     // VMs of a spare pool that the VM service lists; without any, the nodes have no VM service.
     int spare_vms = 0;
     // Fraction of callers, 0 to 1, that cancel a job whose submission had no definite reply and do
--- a/coordination/tests/fleet_sim_callers.cc
+++ b/coordination/tests/fleet_sim_callers.cc
@@ -55,7 +55,7 @@
     if (n > 0) step.after = {n - 1};
     job.spec.steps.push_back(step);
   }
-  if (Draw() < 0.1) {
+  if (Draw() < settings_.long_running_jobs) {
     job.always_fails = false;
     job.spec.steps.resize(1);
     job.spec.steps[0].long_running = true;
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -270,8 +270,9 @@
       });
       return;
     }
+    const std::int64_t connect = ConnectTime(order.backend, kTimeout);
     const std::int64_t latency = 1 + sim_.Draw(5);
-    sim_.At(sim_.now_ + latency, [this, order, once, latency] {
+    sim_.At(sim_.now_ + connect + latency, [this, order, once, latency] {
       const auto it = sim_.backends.find(order.backend);
       if (it == sim_.backends.end() || !it->second.alive || IsCutOff(it->second)) return;
       sim_.PollBackend(it->second, order, [this, order, once, latency](const PollReply& reply) {
@@ -287,6 +288,15 @@
     return backend.disconnected || sim_.cuts.count({node_, backend.report.id}) > 0;
   }
 
+  // How long a connect waits for a backend server that is down, usually not at all; it may not be
+  // up then either.
+  std::int64_t ConnectTime(const BackendId& id, std::int64_t timeout) {
+    const double repeated = sim_.settings_.faults.calls_to_next_incarnation;
+    const auto it = sim_.backends.find(id);
+    if (repeated == 0 || it == sim_.backends.end() || it->second.alive) return 0;
+    return sim_.Draw() < repeated ? sim_.Draw(static_cast<int>(timeout)) : 0;
+  }
+
   // Lets a backend server carry out an order seconds later.
   template <typename Handler>
   void DeliverLate(const BackendId& id, Handler handle_order) {
@@ -305,7 +315,9 @@
             Handler handle_order) {
     constexpr std::int64_t kTimeout = 900;
     const auto it = sim_.backends.find(id);
-    const bool reachable = it != sim_.backends.end() && it->second.alive && !IsCutOff(it->second);
+    const std::int64_t connect = ConnectTime(id, kTimeout);
+    const bool there = it != sim_.backends.end() && !IsCutOff(it->second);
+    const bool reachable = there && (it->second.alive || connect > 0);
     if (!reachable) {
       sim_.At(sim_.now_ + kTimeout, [this, done] { DeliverNow(OrderReply{}, done); });
       return;
@@ -316,14 +328,15 @@
       return;
     }
     const std::int64_t latency = 1 + sim_.Draw(8);
-    sim_.At(sim_.now_ + latency, [this, id, handle_order, done, latency] {
+    sim_.At(sim_.now_ + connect + latency, [this, id, handle_order, done, connect, latency] {
       const auto found = sim_.backends.find(id);
       const bool there =
           found != sim_.backends.end() && found->second.alive && !IsCutOff(found->second);
       const OrderReply reply = there ? handle_order(found->second) : OrderReply{};
       const bool lost = !there || sim_.unheard.count(id) > 0 ||
                         sim_.Draw() < sim_.settings_.faults.lost_order_replies;
-      sim_.At(sim_.now_ + (lost ? kTimeout : latency),
+      const std::int64_t rest = lost ? kTimeout - connect : latency;
+      sim_.At(sim_.now_ + std::max(rest, latency),
               [this, done, reply, lost] { DeliverNow(lost ? OrderReply{} : reply, done); });
     });
   }
--- a/coordination/tests/fleet_sim_servers.cc
+++ b/coordination/tests/fleet_sim_servers.cc
@@ -97,6 +97,9 @@
   backend.lease_until = std::max(
       backend.lease_until, std::min(order.lease_until.count(), ClockOf(backend) + kLongestLease));
   backend.lease_expired = false;
+  if (order.lease_until.count() - ClockOf(backend) > kLongestLease - 2000) {
+    Trace(-1, backend.report.id.str() + " takes a start of a former life: " + task);
+  }
   reply.outcome = OrderOutcome::kDone;
   if (const auto it = backend.running.find(task); it != backend.running.end()) {
     if (it->second.number == order.run) return reply;
