Take no server for ended because its VM is listed as down

A VM that is cut off is listed as down too, so the list does not show that a start cannot have reached the server (docs/platform-deployment.md). Only a VM that has left the server ends the wait for the longest lease now.

DispatcherRestart.ARunOfAServerThatItsVmHasLeftEndsByTheUsualLease replaces the test that took a VM that is down for ended, which was wrong; it checks both and is red on the commit before.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -226,9 +226,10 @@
   void RoutesSent(const QueueRoutes& routes);
   void RoutesWritten(const QueueRoutes& routes);
 
-  // Takes note of servers whose VM has left them or is down, by a list of VMs that is newer than
-  // the ownership and describes them as they were at `as_of` or later. Nothing waits for the leases
-  // of those of the roster, nor for starts that were on the way to a server before.
+  // Takes note of servers whose VM has left them, by a list of VMs that is newer than the ownership
+  // and describes them as they were at `as_of` or later. Nothing waits for the leases of those of
+  // the roster, nor for starts that were on the way to a server before. A VM that is down may be
+  // cut off.
   void OnVmList(const std::vector<VmReport>& vms, MonotonicTime as_of, MonotonicTime now);
 
   // Jobs stored after `horizon` start only when it has been raised. The owner stores the horizon
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -114,9 +114,9 @@
   for (auto& [id, backend] : impl_->backends) {
     const auto listed = by_vm.find(backend->report.vm);
     if (listed == by_vm.end()) continue;
-    const bool ended = HasLeft(*listed->second, id, backend->report.pool) ||
-                       listed->second->state == VmState::kDown;
-    if (ended) Impl::RecordVmWithoutServer(*backend, as_of);
+    if (HasLeft(*listed->second, id, backend->report.pool)) {
+      Impl::RecordVmWithoutServer(*backend, as_of);
+    }
   }
   std::vector<BackendId> ended;
   for (const auto& [id, entry] : impl_->roster_pending) {
