Keep each write of the owner within the limits of the store

Cause: a new owner wrote the rows of all waves, up to 80 progress rows and the renewal in one transaction, which the store rejects above 100 entries or 1 MB, and repeated it unchanged.

Change: at most 70 progress rows of 400,000 bytes and 20 waves a write.

Before: FleetSchedule.ANewOwnerOfManyWavesWritesWithinTheLimitsOfTheStore red (253 entries).

Works because what is left stays queued and the next write comes 60 ms later.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -258,9 +258,11 @@
   // ownership has expired.
   void Tick(MonotonicTime now, bool may_order);
 
-  // Takes progress rows to be written, oldest change first. Call WritesDone with the outcome before
+  // Takes progress rows to be written, oldest change first: at most `max_writes`, and no more than
+  // fit into `max_bytes`, but at least one if there is any. Call WritesDone with the outcome before
   // the next batch is taken.
-  [[nodiscard]] std::vector<ProgressWrite> TakeWrites(std::size_t max_writes);
+  [[nodiscard]] std::vector<ProgressWrite> TakeWrites(std::size_t max_writes,
+                                                      std::size_t max_bytes);
   void WritesDone(bool written);
   [[nodiscard]] bool HasWrites() const;
 
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -233,16 +233,23 @@
   impl_->SendPolls();
 }
 
-std::vector<ProgressWrite> Dispatcher::TakeWrites(std::size_t max_writes) {
+std::vector<ProgressWrite> Dispatcher::TakeWrites(std::size_t max_writes, std::size_t max_bytes) {
   std::vector<ProgressWrite> writes;
+  std::size_t bytes = 0;
   while (writes.size() < max_writes && !impl_->dirty.empty()) {
     const auto [at, id] = *impl_->dirty.begin();
-    impl_->dirty.erase(impl_->dirty.begin());
     const auto it = impl_->jobs.find(id);
-    if (it == impl_->jobs.end()) continue;
+    if (it == impl_->jobs.end()) {
+      impl_->dirty.erase(impl_->dirty.begin());
+      continue;
+    }
+    std::string value = it->second->progress.Encode();
+    if (!writes.empty() && bytes + value.size() > max_bytes) break;
+    bytes += value.size();
+    impl_->dirty.erase(impl_->dirty.begin());
     it->second->dirty_since = 0;
     impl_->writing[at] = id;
-    writes.push_back(ProgressWrite{id, it->second->progress.Encode()});
+    writes.push_back(ProgressWrite{id, std::move(value)});
   }
   return writes;
 }
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -14,9 +14,14 @@
 constexpr Millis kCommitInterval{60};
 // Minimum time between two writes of the start horizon, for which new jobs wait.
 constexpr Millis kHorizonInterval{20};
-// Maximum number of progress rows, or of removed rows, in one transaction; below the table
-// service's limit of 100 entries.
-constexpr std::size_t kMaxWrites = 80;
+// Maximum numbers of rows in one transaction: of progress rows, or of removed rows, and of waves
+// beside progress rows. With the owner's other rows, below the table service's limit of 100
+// entries.
+constexpr std::size_t kMaxWrites = 70;
+constexpr std::size_t kMaxWaveWrites = 20;
+// Maximum size of the progress rows in one transaction, unless a single row is larger. In base64
+// and with the owner's other rows, below the table service's limit of 1 MB.
+constexpr std::size_t kMaxProgressBytes = 400'000;
 // Interval between two batches of rows of ended jobs that are removed, and the time for which such
 // a row is kept, so that it does not come back by a repeated submission.
 constexpr Millis kRowRemovalInterval{300};
@@ -54,7 +59,7 @@
     tx.writes.emplace_back(rows::Owner(), lease.Renewal().row.Encode());
   }
   if (running) {
-    for (const ProgressWrite& it : dispatcher->TakeWrites(kMaxWrites)) {
+    for (const ProgressWrite& it : dispatcher->TakeWrites(kMaxWrites, kMaxProgressBytes)) {
       tx.writes.emplace_back(rows::Progress(it.job), it.value);
     }
     if (new_roster) {
@@ -75,11 +80,14 @@
       }
     }
   }
+  // The rest follows with the next write.
+  std::map<std::int64_t, MaintenanceProgress> waves_sent;
   for (const auto& [number, progress] : wave_rows) {
+    if (waves_sent.size() == kMaxWaveWrites) break;
+    waves_sent[number] = progress;
     tx.writes.emplace_back(rows::Owned(rows::kWavePrefix + std::to_string(number)),
                            progress.Encode());
   }
-  const auto waves_sent = wave_rows;
   committing = true;
   const std::optional<Revision> new_horizon = running ? std::optional(horizon) : std::nullopt;
   if (new_roster) dispatcher->RosterSent(*new_roster);
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -136,7 +136,8 @@
       if (const auto roster = dispatcher->RosterToWrite()) dispatcher->RosterWritten(*roster);
       if (const auto routes = dispatcher->RoutesToWrite()) dispatcher->RoutesWritten(*routes);
       constexpr std::size_t kBatch = 100;
-      written += dispatcher->TakeWrites(kBatch).size();
+      constexpr std::size_t kBatchBytes = 100'000;
+      written += dispatcher->TakeWrites(kBatch, kBatchBytes).size();
       dispatcher->WritesDone(true);
       const std::size_t before = starts.size();
       dispatcher->Tick(Now(), true);
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -212,10 +212,10 @@
   now_ms += 1000;
   dispatcher->Tick(Now(), false);
   LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now()).size());
-  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10, 100'000).size());
   dispatcher->WritesDone(false);
   LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now() + age).size());
-  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10, 100'000).size());
   dispatcher->WritesDone(true);
   LONGS_EQUAL(0, dispatcher->TakeRemovable(age, Now()).size());
   const auto removable = dispatcher->TakeRemovable(age, Now() + age);
@@ -290,7 +290,7 @@
   polls.clear();
   LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
   CHECK_FALSE(dispatcher->IsIdle(BackendId("b1")));
-  LONGS_EQUAL(1, dispatcher->TakeWrites(10).size());
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10, 100'000).size());
   CHECK_FALSE(dispatcher->IsIdle(BackendId("b1")));
   dispatcher->WritesDone(true);
   CHECK(dispatcher->IsIdle(BackendId("b1")));
@@ -929,3 +929,22 @@
   LONGS_EQUAL(2, starts.size());
   CHECK(starts[1].backend == BackendId("b2"));
 }
+
+// Guards against a write of many large rows that the store rejects as a whole, again and again.
+TEST(DispatcherRecovery, TakesNoMoreProgressThanFitsIntoAWrite) {
+  AddBackend("b1");
+  Advance(500);
+  constexpr std::size_t kJobs = 3;
+  for (const char* id : {"j1", "j2", "j3"}) AddJob(id, {Step(1, 100)});
+  dispatcher->Tick(Now(), true);
+  for (const char* id : {"j1", "j2", "j3"}) dispatcher->CancelJob(JobId(id), Now());
+  const auto all = dispatcher->TakeWrites(10, 100'000);
+  LONGS_EQUAL(kJobs, all.size());
+  dispatcher->WritesDone(false);
+  LONGS_EQUAL(2, dispatcher->TakeWrites(10, all[0].value.size() + all[1].value.size()).size());
+  dispatcher->WritesDone(true);
+  // One is taken even if it is too large.
+  LONGS_EQUAL(1, dispatcher->TakeWrites(10, 1).size());
+  dispatcher->WritesDone(true);
+  CHECK_FALSE(dispatcher->HasWrites());
+}
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -195,6 +195,27 @@
   });
 }
 
+// Guards against an owner whose first write names so many waves that the store rejects it, so that
+// neither it nor any later owner stores anything and no job is started any more.
+TEST(FleetSchedule, ANewOwnerOfManyWavesWritesWithinTheLimitsOfTheStore) {
+  FleetSim::Settings settings;
+  settings.spare_vms = 1;
+  FleetSim sim(settings);
+  sim.RunUntil(1500);
+  constexpr int kWaves = 250;
+  for (int n = 1; n <= kWaves; ++n) sim.At(1500 + 10 * n, [&sim, n] { sim.AddWave(n); });
+  sim.RunUntil(8000);
+  sim.KillNode(sim.OwnerNode());
+  for (int n = 0; n < 20; ++n) sim.At(8000 + 100 * n, [&sim] { sim.SubmitRandomJob(); });
+  // A third of the calls go to the node that is gone.
+  for (int at = 30'000; at < 40'000; at += 500) {
+    sim.RunUntil(at);
+    for (auto& [id, job] : sim.jobs) sim.Poll(job);
+  }
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+  for (const auto& it : sim.Unfinished()) FAIL(it.c_str());
+}
+
 // Guards against marks of cancelled ids that stay in the store for good, and that are removed too
 // early.
 TEST(FleetSchedule, TheMarkOfACancelledIdLastsAsLongAsTheStateOfAnEndedJob) {
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -158,6 +158,18 @@
 RowsReply FleetSim::Apply(const RowTransaction& tx) {
   RowsReply reply;
   reply.now = StoreClock(now_);
+  std::size_t bytes = 0;
+  for (const auto& [key, value] : tx.writes) bytes += value.size();
+  const std::size_t entries = tx.expected.size() + tx.writes.size() + tx.removes.size();
+  constexpr std::size_t kMaxEntries = 100;
+  // 1 MB, in base64.
+  constexpr std::size_t kMaxBytes = 750'000;
+  if (entries > kMaxEntries || bytes > kMaxBytes) {
+    Violate("a transaction has " + std::to_string(entries) + " entries and " +
+            std::to_string(bytes) + " bytes");
+    reply.outcome = StoreOutcome::kNotDone;
+    return reply;
+  }
   bool holds = true;
   for (const auto& [key, revision] : tx.expected) {
     const auto it = rows_.find(key);
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -138,6 +138,8 @@
   void CrashBackend(const BackendId& id, std::int64_t down_for, bool same_id,
                     std::int64_t unregistered_for = 0);
   void SetDraining(const BackendId& id);
+  // Asks for a wave without VMs.
+  void AddWave(int number) { Put({"operator", "", "wave/" + std::to_string(number)}, "wave"); }
   // Changes the configuration so that the jobs of a queue run in another pool.
   void MoveQueue(int queue, int pool);
 
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -49,7 +49,13 @@
     if (row.at.key != "config") return std::nullopt;
     return sim_.config;
   }
-  std::optional<WaveOrder> Wave(const StoredRow&) const override { return std::nullopt; }
+  // Waves without VMs, which are complete at once.
+  std::optional<WaveOrder> Wave(const StoredRow& row) const override {
+    if (row.at.key.rfind("wave/", 0) != 0) return std::nullopt;
+    WaveOrder wave;
+    wave.number = std::stoll(row.at.key.substr(5));
+    return wave;
+  }
   std::optional<BackendReport> Backend(const StoredRow& row) const override {
     const auto it = sim_.backends.find(BackendId(row.at.key));
     if (row.removed || it == sim_.backends.end()) return std::nullopt;
@@ -62,7 +68,9 @@
     if (!job) return job.error();
     return job.value().spec;
   }
-  std::pair<RowAddress, std::string> WaveStatus(std::int64_t, bool) const override { return {}; }
+  std::pair<RowAddress, std::string> WaveStatus(std::int64_t number, bool) const override {
+    return {{"status", "", "wave/" + std::to_string(number)}, "status"};
+  }
 
  private:
   FleetSim& sim_;
