--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -291,19 +291,6 @@
                 [&](const auto& orphan) { return listed.count(orphan.first.first) == 0; });
 }
 
-void Dispatcher::Impl::MarkRunLost(const BackendEntry& backend, const TaskKey& key,
-                                   const std::string& why) {
-  const TaskRef ref = Find(key);
-  Report(DecisionKind::kTaskLost, key.job, key.str(), backend.report.id, ref.task->run, why);
-  Requeue(key, ref);
-}
-
-void Dispatcher::Impl::MarkRunsLost(BackendEntry& backend, const std::string& why) {
-  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
-  for (const TaskKey& key : keys) MarkRunLost(backend, key, why);
-  backend.orphans.clear();
-}
-
 // The pause between two polls of a backend server. An owner that is short of processor time polls
 // less often, so that each poll returns more ends.
 Millis Dispatcher::Impl::PollPause() const {
--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -3,6 +3,9 @@
 
 #include "dispatcher_state.h"
 
+// The leases of backend servers. They are granted as times on the clock of an incarnation, and
+// bounded here by the owner's clock.
+
 namespace sapphirewheel {
 
 BackendClock Dispatcher::Impl::NewLeaseEnd(const BackendEntry& backend) const {
@@ -40,6 +43,19 @@
   backend.longer_lease_until = std::max(backend.longer_lease_until, end);
 }
 
+void Dispatcher::Impl::MarkRunLost(const BackendEntry& backend, const TaskKey& key,
+                                   const std::string& why) {
+  const TaskRef ref = Find(key);
+  Report(DecisionKind::kTaskLost, key.job, key.str(), backend.report.id, ref.task->run, why);
+  Requeue(key, ref);
+}
+
+void Dispatcher::Impl::MarkRunsLost(BackendEntry& backend, const std::string& why) {
+  const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
+  for (const TaskKey& key : keys) MarkRunLost(backend, key, why);
+  backend.orphans.clear();
+}
+
 // The backend server has restarted under the same id, and its end numbers restart too. The lists of
 // the new incarnation show which runs are gone, as some may already have been started there.
 void Dispatcher::Impl::HandleRestart(BackendEntry& backend, UnixMillis started_at) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -80,8 +80,6 @@
   void HandleRunning(BackendEntry& backend, const ListedRun& row);
   void ReconcileUnlisted(BackendEntry& backend, const std::set<TaskKey>& listed,
                          MonotonicTime sent);
-  void MarkRunsLost(BackendEntry& backend, const std::string& why);
-  void MarkRunLost(const BackendEntry& backend, const TaskKey& key, const std::string& why);
   void HandleReplaced(BackendEntry& backend);
   [[nodiscard]] Millis PollPause() const;
   // Updates the mean interval between ticks.
@@ -101,6 +99,8 @@
   // The lease may last until `end` because its order was computed by an earlier incarnation's
   // clock.
   static void KeepLongerLease(BackendEntry& backend, MonotonicTime end);
+  void MarkRunLost(const BackendEntry& backend, const TaskKey& key, const std::string& why);
+  void MarkRunsLost(BackendEntry& backend, const std::string& why);
   void HandleRestart(BackendEntry& backend, UnixMillis started_at);
   // Takes the clock of a list, and notices if an incarnation sends its first one.
   void RecordClock(BackendEntry& backend, const PollReply& reply);
--- a/coordination/src/dispatcher_unanswered.cc
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -2,6 +2,8 @@
 
 #include "dispatcher_state.h"
 
+// Starts without a reply, which a later incarnation of their server may still carry out.
+
 namespace sapphirewheel {
 
 void Dispatcher::Impl::RecordUnansweredStart(BackendEntry& backend, const TaskKey& key,
@@ -68,7 +70,7 @@
   const auto it = backend.unanswered_starts.find({key, task.run});
   if (it == backend.unanswered_starts.end()) return backend.lease_end;
   const MonotonicTime at = it->second.at;
-  // Otherwise only late copies of it are left, which do not matter to an incarnation that runs it.
+  // What is left then are copies that come late, which a later incarnation is told to refuse.
   if (task.confirmed_at > at || it->second.not_delivered) return backend.lease_end;
   const bool restarted =
       backend.listed_incarnation && *backend.listed_incarnation != backend.report.started_at;
