Open few connections to each backend server

Cause: a node kept up to 64 idle connections to a server, which accepts 64 from all nodes; those of a frozen or cut off former owner stay open.

--- a/transport/include/sapphirewheel/transport/http_client.h
+++ b/transport/include/sapphirewheel/transport/http_client.h
@@ -34,6 +34,9 @@
   // Time limit of the whole call, from the wait for a connection to the last byte of the response.
   Millis deadline{5000};
   ConnectionReuse reuse = ConnectionReuse::kAny;
+  // Upper bound of open connections to the host while this call opens one, below
+  // Settings::connections_per_host; 0 if only that counts.
+  std::size_t max_connections = 0;
   // For an order whose sender's right to give it ends: the end, by Settings::now. It is asked again
   // while the call is in progress. The request is not written after the end, and a call without a
   // response by then is aborted. Called on the client's thread.
--- a/transport/src/connection_pool.cc
+++ b/transport/src/connection_pool.cc
@@ -22,9 +22,15 @@
 
 }  // namespace
 
-Task<bool> ConnectionPool::AcquirePermit(Endpoint endpoint, OperationDeadline& deadline) {
+std::size_t ConnectionPool::Limit(std::size_t max_connections) const {
+  if (max_connections == 0) return settings_.connections_per_host;
+  return std::min(max_connections, settings_.connections_per_host);
+}
+
+Task<bool> ConnectionPool::AcquirePermit(Endpoint endpoint, std::size_t max_connections,
+                                         OperationDeadline& deadline) {
   Host& host = hosts_[endpoint];
-  if (host.in_use < settings_.connections_per_host) {
+  if (host.in_use < Limit(max_connections)) {
     ++host.in_use;
     co_return true;
   }
@@ -100,9 +106,9 @@
   }
 }
 
-void ConnectionPool::EvictIdle(const Endpoint& endpoint) {
+void ConnectionPool::EvictIdle(const Endpoint& endpoint, std::size_t max_connections) {
   Host& host = hosts_[endpoint];
-  while (!host.idle.empty() && host.in_use + host.idle.size() > settings_.connections_per_host) {
+  while (!host.idle.empty() && host.in_use + host.idle.size() > Limit(max_connections)) {
     DropOldest(host);
   }
 }
--- a/transport/src/connection_pool.h
+++ b/transport/src/connection_pool.h
@@ -32,14 +32,15 @@
 
   // Waits for a permit, in order of arrival. Returns false when too many calls wait or the deadline
   // has passed.
-  Task<bool> AcquirePermit(Endpoint endpoint, OperationDeadline& deadline);
+  Task<bool> AcquirePermit(Endpoint endpoint, std::size_t max_connections,
+                           OperationDeadline& deadline);
   void ReleasePermit(const Endpoint& endpoint);
 
   // The most recently used idle connection that is still open, or null when there is none.
   std::unique_ptr<PooledConnection> TakeIdle(const Endpoint& endpoint, ConnectionReuse reuse);
   void ReturnIdle(const Endpoint& endpoint, std::unique_ptr<PooledConnection> connection);
   // Closes the oldest idle connections where a new one would exceed the bound.
-  void EvictIdle(const Endpoint& endpoint);
+  void EvictIdle(const Endpoint& endpoint, std::size_t max_connections);
   // Closes connections that exceeded the idle timeout and removes entries of hosts without any.
   void Sweep();
   void CloseIdle();
@@ -58,6 +59,8 @@
 
   boost::asio::io_context& context_;
   const HttpClient::Settings& settings_;
+  // The bound of open connections to a host for a call with its own one.
+  [[nodiscard]] std::size_t Limit(std::size_t max_connections) const;
   // Closes the least recently used idle connections of all hosts when there are too many.
   void TrimIdle();
   void DropOldest(Host& host);
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -239,7 +239,7 @@
 
 Task<HttpResult> HttpClient::Impl::AcquireAndRun(const HttpCall& call,
                                                  OperationDeadline& deadline) {
-  const bool acquired = co_await pool.AcquirePermit(call.to, deadline);
+  const bool acquired = co_await pool.AcquirePermit(call.to, call.max_connections, deadline);
   if (!acquired) {
     co_return NotSent(deadline.expired() ? "no connection became free before the deadline"
                                          : "too many calls are waiting for a connection");
@@ -260,7 +260,7 @@
     if (result.outcome == HttpOutcome::kNotSent && !deadline.expired()) connection.reset();
   }
   if (!connection) {
-    pool.EvictIdle(call.to);
+    pool.EvictIdle(call.to, call.max_connections);
     connection = std::make_unique<PooledConnection>(context);
     std::string failure = co_await ConnectWithTimeout(*connection, call, deadline);
     if (!failure.empty()) co_return NotSent(std::move(failure));
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -306,6 +306,35 @@
   CHECK_EQUAL(2, server.connections());
 }
 
+// Guards against a client that takes all connections that a server accepts, idle ones included, so
+// that others cannot reach it.
+TEST(HttpClient, OpensNoMoreConnectionsThanACallAllows) {
+  std::atomic<int> waiting = 0;
+  std::atomic<bool> go = false;
+  FakeServer server([&](TestSocket& socket, int) {
+    while (!socket.ReadMessage().empty()) {
+      ++waiting;
+      WaitFor([&] { return go.load(); });
+      socket.Send(HttpResponseText(200, "ok"));
+    }
+  });
+  HttpClient client(HttpClient::Settings{});
+  Awaited<HttpResult> results;
+  constexpr std::size_t kCalls = 6;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    HttpCall call = Post(server.endpoint());
+    call.max_connections = 2;
+    client.Call(call, [&](HttpResult got) { results.Set(std::move(got)); });
+  }
+  CHECK_TRUE(WaitFor([&] { return waiting == 2; }));
+  go = true;
+  CHECK_TRUE(results.Get(kCalls).has_value());
+  for (std::size_t i = 1; i <= kCalls; ++i) {
+    CHECK_TRUE(results.Get(i)->outcome == HttpOutcome::kComplete);
+  }
+  CHECK_EQUAL(2, server.connections());
+}
+
 // Guards against a wait for a connection that exceeds the deadline or is reported as a sent call.
 TEST(HttpClient, EndsCallsThatWaitTooLongAsNotSent) {
   FakeServer server([](TestSocket& socket, int) { socket.ReadAll(); });
