Give up all idle connections to a host when one is silent

Cause: each call took the next idle connection and waited for its deadline, so 20 silent ones cost 20 time-outs of 1.3 s.

--- a/transport/src/connection_pool.cc
+++ b/transport/src/connection_pool.cc
@@ -123,6 +123,12 @@
   }
 }
 
+void ConnectionPool::CloseIdle(const Endpoint& endpoint) {
+  Host& host = hosts_[endpoint];
+  idle_ -= host.idle.size();
+  host.idle.clear();
+}
+
 void ConnectionPool::CloseIdle() {
   for (auto& [endpoint, host] : hosts_) host.idle.clear();
   idle_ = 0;
--- a/transport/src/connection_pool.h
+++ b/transport/src/connection_pool.h
@@ -44,6 +44,7 @@
   // Closes connections that exceeded the idle timeout and removes entries of hosts without any.
   void Sweep();
   void CloseIdle();
+  void CloseIdle(const Endpoint& endpoint);
 
  private:
   struct Waiter {
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -256,6 +256,10 @@
   HttpResult result;
   if (connection) {
     result = co_await Exchange(*connection, call, deadline, reusable);
+    // What made it silent may have done the same to those that are idle.
+    if (result.outcome == HttpOutcome::kIncomplete && deadline.expired()) {
+      pool.CloseIdle(call.to);
+    }
     // Nothing was written to the idle connection, so a new one may carry the same request.
     if (result.outcome == HttpOutcome::kNotSent && !deadline.expired()) connection.reset();
   }
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -306,6 +306,35 @@
   CHECK_EQUAL(2, server.connections());
 }
 
+// Guards against a client that tries one silent idle connection after the other, each until its
+// deadline, while new connections work.
+TEST(HttpClient, GivesUpIdleConnectionsToAHostWhenOneIsSilent) {
+  constexpr std::size_t kIdle = 3;
+  std::atomic<int> waiting = 0;
+  std::atomic<bool> silent = false;
+  FakeServer server([&](TestSocket& socket, int number) {
+    while (!socket.ReadMessage().empty()) {
+      ++waiting;
+      const bool old = number < static_cast<int>(kIdle);
+      WaitFor([&] { return waiting >= static_cast<int>(kIdle); });
+      if (old && silent) continue;
+      socket.Send(HttpResponseText(200, "ok"));
+    }
+  });
+  HttpClient client(HttpClient::Settings{});
+  Awaited<HttpResult> results;
+  for (std::size_t i = 0; i < kIdle; ++i) {
+    client.Call(Post(server.endpoint()), [&](HttpResult got) { results.Set(std::move(got)); });
+  }
+  CHECK_TRUE(results.Get(kIdle).has_value());
+  CHECK_EQUAL(kIdle, server.connections());
+  silent = true;
+  HttpCall call = Post(server.endpoint());
+  call.deadline = Millis(100);
+  CHECK_TRUE(Run(client, call).outcome == HttpOutcome::kIncomplete);
+  CHECK_TRUE(Run(client, call).outcome == HttpOutcome::kComplete);
+}
+
 // Guards against a client that takes all connections that a server accepts, idle ones included, so
 // that others cannot reach it.
 TEST(HttpClient, OpensNoMoreConnectionsThanACallAllows) {
