Read a configuration that takes long over a small link to its end

Cause: one time limit for the whole poll of the configuration, 1.5 s from the request to the last byte. A row that takes longer on the link was given up and requested again, for ever.

Change: a read of the table service has limits until its reply begins, between two parts of it and for the whole call. HttpClient lets a response that has begun outlast its deadline while bytes arrive. After a reply that took long the next poll does not wait. Event 206 tells of such replies. The simulated store lists each changed row once, as the feed does, and applies the limits; the fake one has a link speed.

Large versions in quick succession still cost a small VM part of its time; it would have to read only what changed.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -119,6 +119,8 @@
   switch (event) {
     case NodeEvent::kConfigApplied:
       return Event::kConfigApplied;
+    case NodeEvent::kConfigDelayed:
+      return Event::kConfigDelayed;
     case NodeEvent::kStoreAvailable:
       return Event::kPlatformAvailable;
     case NodeEvent::kStoreUnavailable:
--- a/apps/daemon/src/deployed_metrics.cc
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -102,27 +102,27 @@
   });
 }
 
-void MeteredRowStore::Read(const RowRange& range, Millis timeout, RowsCallback done) {
+void MeteredRowStore::Read(const RowRange& range, const ReplyLimits& limits, RowsCallback done) {
   const auto start = SteadyClock::now();
-  next_.Read(range, timeout, [this, start, done = std::move(done)](const RowsReply& it) {
+  next_.Read(range, limits, [this, start, done = std::move(done)](const RowsReply& it) {
     metrics_.ObserveStoreCall("read", it.outcome, SecondsSince(start));
     done(it);
   });
 }
 
-void MeteredRowStore::ListParts(const std::string& table, const std::string& after, Millis timeout,
-                                PartsCallback done) {
+void MeteredRowStore::ListParts(const std::string& table, const std::string& after,
+                                const ReplyLimits& limits, PartsCallback done) {
   const auto start = SteadyClock::now();
-  next_.ListParts(table, after, timeout,
+  next_.ListParts(table, after, limits,
                   [this, start, done = std::move(done)](const PartsReply& it) {
                     metrics_.ObserveStoreCall("parts", it.outcome, SecondsSince(start));
                     done(it);
                   });
 }
 
-void MeteredRowStore::Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
-                             RowsCallback done) {
-  next_.Follow(table, after, wait, timeout, std::move(done));
+void MeteredRowStore::Follow(const std::string& table, Revision after, Millis wait,
+                             const ReplyLimits& limits, RowsCallback done) {
+  next_.Follow(table, after, wait, limits, std::move(done));
 }
 
 }  // namespace sapphirewheel
--- a/apps/daemon/src/deployed_metrics.h
+++ b/apps/daemon/src/deployed_metrics.h
@@ -37,11 +37,11 @@
   MeteredRowStore(RowStore& next, DeployedMetrics& metrics) : next_(next), metrics_(metrics) {}
 
   void Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) override;
-  void Read(const RowRange& range, Millis timeout, RowsCallback done) override;
-  void ListParts(const std::string& table, const std::string& after, Millis timeout,
+  void Read(const RowRange& range, const ReplyLimits& limits, RowsCallback done) override;
+  void ListParts(const std::string& table, const std::string& after, const ReplyLimits& limits,
                  PartsCallback done) override;
   // Not measured: its duration is mostly the wait that was asked for.
-  void Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
+  void Follow(const std::string& table, Revision after, Millis wait, const ReplyLimits& limits,
               RowsCallback done) override;
 
  private:
--- a/coordination/include/sapphirewheel/coordination/admission_controller.h
+++ b/coordination/include/sapphirewheel/coordination/admission_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -15,7 +16,8 @@
   struct Settings {
     // Maximum age of the configuration at which a key is accepted.
     Millis key_freshness{3500};
-    // Maximum age of the configuration at which a call may be refused for an unknown queue or key.
+    // Maximum age of the configuration at which a call may be refused for an unknown queue or key,
+    // and at which it is accepted while a newer configuration is on the way.
     Millis refusal_freshness{1500};
   };
   struct Admission {
@@ -34,6 +36,9 @@
   // Records that the present configuration was the newest one at `at`. All times are on a clock
   // that continues while the VM is suspended.
   void Confirm(MonotonicTime at) { confirmed_ = at; }
+  // While catching up, a newer configuration may be on the way to this node, and calls are accepted
+  // only up to Settings::refusal_freshness.
+  void SetCatchingUp(bool catching_up) { catching_up_ = catching_up; }
   // Time since the configuration was last confirmed.
   [[nodiscard]] Millis Age(MonotonicTime now) const { return now - confirmed_; }
 
@@ -45,9 +50,15 @@
   [[nodiscard]] const std::shared_ptr<const DispatchConfig>& config() const { return config_; }
 
  private:
+  [[nodiscard]] Millis MaxAge() const {
+    return catching_up_ ? std::min(settings_.refusal_freshness, settings_.key_freshness)
+                        : settings_.key_freshness;
+  }
+
   Settings settings_;
   std::shared_ptr<const DispatchConfig> config_;
   MonotonicTime confirmed_;
+  bool catching_up_ = false;
 };
 
 }  // namespace sapphirewheel
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -61,6 +61,7 @@
 // State changes of a node, and its decisions about calls, for the log.
 enum class NodeEvent {
   kConfigApplied,
+  kConfigDelayed,
   kStoreAvailable,
   kStoreUnavailable,
   kOwnershipTaken,
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -81,6 +81,16 @@
   std::vector<std::string> parts;
 };
 
+// Time limits of a read from the table service.
+struct ReplyLimits {
+  // Until the reply begins.
+  Millis begin{0};
+  // Between two parts of a reply that has begun.
+  Millis silence{0};
+  // Of the whole call.
+  Millis total{0};
+};
+
 class RowStore {
  public:
   using RowsCallback = std::function<void(const RowsReply&)>;
@@ -90,13 +100,14 @@
   // Commits a transaction atomically. At most 100 entries.
   virtual void Commit(const RowTransaction& transaction, Millis timeout, RowsCallback done) = 0;
   // Reads the rows of a range in the order of their keys.
-  virtual void Read(const RowRange& range, Millis timeout, RowsCallback done) = 0;
+  virtual void Read(const RowRange& range, const ReplyLimits& limits, RowsCallback done) = 0;
   // Lists the parts of a table after `after`.
-  virtual void ListParts(const std::string& table, const std::string& after, Millis timeout,
-                         PartsCallback done) = 0;
+  virtual void ListParts(const std::string& table, const std::string& after,
+                         const ReplyLimits& limits, PartsCallback done) = 0;
   // Reads the rows of a table that changed after a revision; waits up to `wait` for the first one.
-  virtual void Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
-                      RowsCallback done) = 0;
+  // The wait is part of the time until the reply begins.
+  virtual void Follow(const std::string& table, Revision after, Millis wait,
+                      const ReplyLimits& limits, RowsCallback done) = 0;
 };
 
 // Sends orders to backend servers. An order is not written after its permit has ended. One that has
--- a/coordination/src/admission_controller.cc
+++ b/coordination/src/admission_controller.cc
@@ -32,7 +32,7 @@
   }
   Admission admission{queue->id, queue->pool, TeamId(), path.substr(queue->path_prefix.size())};
   if (queue->open) {
-    if (age > settings_.key_freshness) return NotFresh();
+    if (age > MaxAge()) return NotFresh();
     return admission;
   }
   const TeamPolicy* team = key.empty() ? nullptr : config_->TeamOfKey(key);
@@ -42,13 +42,11 @@
                  "present a key of the team in the Authorization header", RunState::kNotRun,
                  std::nullopt};
   }
-  if (age > settings_.key_freshness) return NotFresh();
+  if (age > MaxAge()) return NotFresh();
   admission.team = team->id;
   return admission;
 }
 
-bool AdmissionController::Ready(MonotonicTime now) const {
-  return config_ && Age(now) <= settings_.key_freshness;
-}
+bool AdmissionController::Ready(MonotonicTime now) const { return config_ && Age(now) <= MaxAge(); }
 
 }  // namespace sapphirewheel
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -39,12 +39,20 @@
 }
 
 void EntryNode::Impl::PollConfig(MonotonicTime now) {
+  // A poll that is still open by then has a reply that is on the way and shows an unknown change.
+  const bool arriving = config_in_flight && now - config_sent > config_limits.begin;
+  admission_controller.SetCatchingUp(config_late || arriving);
   if (config_in_flight || now < next_config_poll) return;
   config_in_flight = true;
-  // After an outage the first poll does not wait, so that the node becomes ready again at once.
-  const Millis wait = config_read && config_reachable ? kConfigPollWait : Millis(0);
+  config_sent = now;
+  config_limits = WhileInProgress(config_read ? kConfigPollWait + kFeedSlack : kStoreTimeout);
+  // After an outage the first poll does not wait, so that the node becomes ready again at once. Nor
+  // does the one after a reply that took long, because that reply confirms only an old state.
+  const bool steady = config_read && config_reachable && !config_late;
+  const Millis wait = steady ? kConfigPollWait : Millis(0);
   const auto handle_reply = Guard<const RowsReply&>([this, now, wait](const RowsReply& reply) {
     config_in_flight = false;
+    RecordConfigDelay(ports.now() - now, reply.outcome == StoreOutcome::kDone);
     const bool waited = reply.outcome != StoreOutcome::kDone || reply.rows.empty();
     const Millis delay = waited ? ports.now() - now - wait : Millis(0);
     store_delay = std::clamp(delay, store_delay / 2, kStoreTimeout);
@@ -70,12 +78,23 @@
   });
   const std::string table = ports.codec.OperatorTable();
   if (config_read) {
-    ports.store.Follow(table, config_revision, wait, kConfigPollWait + kFeedSlack, handle_reply);
+    ports.store.Follow(table, config_revision, wait, config_limits, handle_reply);
   } else {
-    ports.store.Read(RowRange{table, "", "", "", 0}, kStoreTimeout, handle_reply);
+    ports.store.Read(RowRange{table, "", "", "", 0}, config_limits, handle_reply);
   }
 }
 
+void EntryNode::Impl::RecordConfigDelay(Millis took, bool done) {
+  const Millis over = took - config_limits.begin;
+  // A poll without a reply ends when the reply should have begun, give or take the delay of a tick.
+  if (done || over > kStoreRetryDelay) config_late = over > Millis(0);
+  if (!config_late) return;
+  ReportEvent(NodeEvent::kConfigDelayed,
+              std::string(done ? "read" : "given up") + " after " + std::to_string(took.count()) +
+                  " ms, confirmed " +
+                  std::to_string(admission_controller.Age(ports.now()).count()) + " ms before");
+}
+
 void EntryNode::Impl::ApplyOperatorRows(const RowsReply& reply, MonotonicTime sent) {
   for (const StoredRow& row : reply.rows) {
     if (auto config = ports.codec.Config(row)) {
@@ -115,11 +134,11 @@
     ApplyOwnerRow(reply, full_read);
   });
   if (full_read) {
-    ports.store.Read(RowRange{rows::kFleet, rows::kOwnerPart, "", "", 0}, kStoreTimeout,
+    ports.store.Read(RowRange{rows::kFleet, rows::kOwnerPart, "", "", 0}, Within(kStoreTimeout),
                      handle_reply);
   } else {
-    ports.store.Follow(rows::kFleet, owner_revision, kOwnerPollWait, kOwnerPollWait + kFeedSlack,
-                       handle_reply);
+    ports.store.Follow(rows::kFleet, owner_revision, kOwnerPollWait,
+                       Within(kOwnerPollWait + kFeedSlack), handle_reply);
   }
 }
 
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -203,7 +203,7 @@
 void EntryNode::Impl::ReadRow(const PendingCallRef& call, const RowAddress& at,
                               const std::function<void(const StoredRow*)>& handle_row) {
   ports.store.Read(RowRange{at.table, at.part, at.key, at.key + kAboveKey, 0},
-                   std::min(kStoreTimeout, Remaining(*call)),
+                   Within(std::min(kStoreTimeout, Remaining(*call))),
                    Guard<const RowsReply&>([this, call, at, handle_row](const RowsReply& reply) {
                      if (reply.outcome == StoreOutcome::kDone) {
                        handle_row(FindRow(reply, at.key));
@@ -356,7 +356,7 @@
   }
   const RowAddress at = rows::Owned(rows::kWaiting);
   ports.store.Read(RowRange{at.table, at.part, at.key, at.key + kAboveKey, 0},
-                   std::min(kStoreTimeout, reply_by - now),
+                   Within(std::min(kStoreTimeout, reply_by - now)),
                    Guard<const RowsReply&>([this, queue, path, respond](const RowsReply& reply) {
                      const StoredRow* row = FindRow(reply, rows::kWaiting);
                      if (reply.outcome != StoreOutcome::kDone || row == nullptr) {
--- a/coordination/src/entry_node_state.h
+++ b/coordination/src/entry_node_state.h
@@ -44,6 +44,9 @@
   // entry_node.cc
   void Tick(MonotonicTime now);
   void PollConfig(MonotonicTime now);
+  // Records whether the reply of a poll of the configuration outlasted the time in which it should
+  // have begun.
+  void RecordConfigDelay(Millis took, bool done);
   void ApplyOperatorRows(const RowsReply& reply, MonotonicTime sent);
   void PollOwner(MonotonicTime now);
   void ApplyOwnerRow(const RowsReply& reply, bool full_read);
@@ -105,6 +108,11 @@
   bool config_reachable = true;
   Revision config_revision;
   MonotonicTime next_config_poll;
+  // The present poll of the configuration, or the last one.
+  MonotonicTime config_sent;
+  ReplyLimits config_limits;
+  // The last reply took so long that it confirms only an old state.
+  bool config_late = false;
   // Present delay of the table service's replies.
   Millis store_delay{0};
   std::map<std::int64_t, WaveOrder> waves;
--- a/coordination/tests/entry_node_calls_test.cc
+++ b/coordination/tests/entry_node_calls_test.cc
@@ -29,9 +29,10 @@
   void Commit(const RowTransaction& tx, Millis, RowsCallback done) override {
     transactions.emplace_back(tx, std::move(done));
   }
-  void ListParts(const std::string&, const std::string&, Millis, PartsCallback) override {}
-  void Follow(const std::string&, Revision, Millis, Millis, RowsCallback) override {}
-  void Read(const RowRange& range, Millis, RowsCallback done) override {
+  void ListParts(const std::string&, const std::string&, const ReplyLimits&,
+                 PartsCallback) override {}
+  void Follow(const std::string&, Revision, Millis, const ReplyLimits&, RowsCallback) override {}
+  void Read(const RowRange& range, const ReplyLimits&, RowsCallback done) override {
     reads_.emplace_back(range, std::move(done));
   }
 
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -200,10 +200,11 @@
   return reply;
 }
 
+// The rows of operators and of the registry are not bounded as transactions of nodes are.
 void FleetSim::Put(const RowAddress& key, const std::string& value) {
-  RowTransaction tx;
-  tx.writes.emplace_back(key, value);
-  Apply(tx);
+  rows_[key] = {value, ++revision_};
+  log_.emplace_back(revision_, key);
+  WakeFollowers();
 }
 
 void FleetSim::MoveQueue(int queue, int pool) {
@@ -213,6 +214,11 @@
   Put({"operator", "", "config"}, "config");
 }
 
+void FleetSim::GrowConfig(std::size_t bytes) {
+  config.version = ConfigVersion(config.version.count() + 1);
+  Put({"operator", "", "config"}, std::string(bytes, 'x'));
+}
+
 RowsReply FleetSim::Changes(const std::string& table, std::uint64_t after) {
   RowsReply reply;
   reply.now = StoreClock(now_);
@@ -222,8 +228,14 @@
     return reply;
   }
   reply.outcome = StoreOutcome::kDone;
+  // Each row is shown once, as of its last change.
+  std::map<RowAddress, std::uint64_t> changed;
+  for (const auto& [revision, key] : log_) {
+    if (revision > after && key.table == table) changed[key] = revision;
+  }
   for (const auto& [revision, key] : log_) {
-    if (revision <= after || key.table != table) continue;
+    const auto last = changed.find(key);
+    if (last == changed.end() || last->second != revision) continue;
     const auto it = rows_.find(key);
     StoredRow row{key, "", Revision(revision), it == rows_.end()};
     if (it != rows_.end()) row.value = it->second.first;
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -142,6 +142,8 @@
   void AddWave(int number) { Put({"operator", "", "wave/" + std::to_string(number)}, "wave"); }
   // Changes the configuration so that the jobs of a queue run in another pool.
   void MoveQueue(int queue, int pool);
+  // Stores a new version of the configuration whose row has this size.
+  void GrowConfig(std::size_t bytes);
 
   // Submits a random job to a random node; retries until it is accepted.
   void SubmitRandomJob();
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -129,14 +129,15 @@
       if (lost) {
         Deliver(timeout.count() - latency, RowsReply{}, done);
       } else {
-        DeliverRows(latency, timeout - Millis(latency), reply, done);
+        const Millis left = timeout - Millis(latency);
+        DeliverRows(latency, ReplyLimits{left, left, left}, reply, done);
       }
     });
   }
 
-  void Read(const RowRange& range, Millis timeout, RowsCallback done) override {
+  void Read(const RowRange& range, const ReplyLimits& limits, RowsCallback done) override {
     if (!Reachable()) {
-      Deliver(timeout.count(), RowsReply{}, done);
+      Deliver(limits.begin.count(), RowsReply{}, done);
       return;
     }
     RowsReply reply;
@@ -156,14 +157,14 @@
       }
       reply.rows.push_back(StoredRow{key, row.first, Revision(row.second), false});
     }
-    DeliverRows(4 + sim_.Draw(6), timeout, reply, done);
+    DeliverRows(4 + sim_.Draw(6), limits, reply, done);
   }
 
-  void ListParts(const std::string& table, const std::string& after, Millis timeout,
+  void ListParts(const std::string& table, const std::string& after, const ReplyLimits& limits,
                  PartsCallback done) override {
     PartsReply reply;
     if (!Reachable()) {
-      Deliver(timeout.count(), reply, done);
+      Deliver(limits.begin.count(), reply, done);
       return;
     }
     reply.outcome = StoreOutcome::kDone;
@@ -175,21 +176,23 @@
     Deliver(4 + sim_.Draw(6), reply, done);
   }
 
-  void Follow(const std::string& table, Revision after, Millis wait, Millis timeout,
+  void Follow(const std::string& table, Revision after, Millis wait, const ReplyLimits& limits,
               RowsCallback done) override {
     if (!Reachable()) {
-      Deliver(timeout.count(), RowsReply{}, done);
+      Deliver(limits.begin.count(), RowsReply{}, done);
       return;
     }
     auto answered = std::make_shared<bool>(false);
-    const auto once = [this, answered, done](const RowsReply& reply) {
+    const auto once = [this, answered, done, limits, sent = sim_.now_](const RowsReply& reply) {
       if (*answered) return;
       *answered = true;
+      const Millis waited(sim_.now_ - sent);
+      const ReplyLimits left{limits.begin - waited, limits.silence, limits.total - waited};
       // A node that is disconnected while a feed waits gets no reply.
       if (Reachable())
-        DeliverRows(2 + sim_.Draw(4), kFollowReplyTimeout, reply, done);
+        DeliverRows(2 + sim_.Draw(4), left, reply, done);
       else
-        Deliver(1000, RowsReply{}, done);
+        Deliver(std::min<std::int64_t>(1000, left.begin.count()), RowsReply{}, done);
     };
     sim_.followers_.push_back({table, after.count(), sim_.now_ + wait.count(), once});
     sim_.WakeFollowers();
@@ -199,16 +202,14 @@
  private:
   bool Reachable() const { return !sim_.store_down_ && !sim_.nodes[node_].store_disconnected; }
 
-  static constexpr Millis kFollowReplyTimeout{1300};
-
   // Delivers rows after those that are already on the way to the node over its link; a reply that
-  // is not complete by the timeout is lost but still takes its time on the link.
-  void DeliverRows(std::int64_t delay, Millis timeout, const RowsReply& reply,
+  // exceeds its limits is lost but still takes its time on the link.
+  void DeliverRows(std::int64_t delay, const ReplyLimits& limits, const RowsReply& reply,
                    const RowsCallback& done) {
     const std::int64_t rate = sim_.settings_.link_bytes_per_ms;
     delay += sim_.store_reply_delay;
-    if (delay > timeout.count()) {
-      Deliver(timeout.count(), RowsReply{}, done);
+    if (delay > limits.begin.count()) {
+      Deliver(limits.begin.count(), RowsReply{}, done);
       return;
     }
     if (rate == 0) {
@@ -221,10 +222,13 @@
       bytes += kHeadBytes + static_cast<std::int64_t>(row.value.size()) * 4 / 3;
     }
     std::int64_t& free_at = sim_.nodes[node_].link_free_at;
-    free_at = std::max(free_at, sim_.now_ + delay) + bytes / rate;
+    const std::int64_t begins_at = std::max(free_at, sim_.now_ + delay);
+    free_at = begins_at + bytes / rate;
     const std::int64_t wait = free_at - sim_.now_;
-    if (wait > timeout.count()) {
-      Deliver(timeout.count(), RowsReply{}, done);
+    if (begins_at - sim_.now_ > limits.begin.count()) {
+      Deliver(limits.begin.count(), RowsReply{}, done);
+    } else if (wait > limits.total.count()) {
+      Deliver(limits.total.count(), RowsReply{}, done);
     } else {
       Deliver(wait, reply, done);
     }
--- a/tests/standins/http.h
+++ b/tests/standins/http.h
@@ -41,6 +41,8 @@
   std::string body{};
   HttpHeaders headers{};
   Delivery delivery = Delivery::kNormal;
+  // The rate at which the response is sent; 0 sends it at once.
+  std::size_t bytes_per_ms = 0;
 };
 
 using HttpRespond = std::function<void(HttpResponse)>;
--- a/tests/standins/http_server.cc
+++ b/tests/standins/http_server.cc
@@ -73,6 +73,20 @@
   return text;
 }
 
+// Sends a response as a link of this rate would let it arrive.
+asio::awaitable<void> WriteSlowly(tcp::socket& socket, const std::string& text,
+                                  std::size_t bytes_per_ms) {
+  constexpr std::chrono::milliseconds kStep{20};
+  const std::size_t step = bytes_per_ms * kStep.count();
+  asio::steady_timer timer(socket.get_executor());
+  for (std::size_t sent = 0; sent < text.size(); sent += step) {
+    const std::size_t n = std::min(step, text.size() - sent);
+    co_await asio::async_write(socket, asio::buffer(text.data() + sent, n), asio::use_awaitable);
+    timer.expires_after(kStep);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 // Serves the requests of a connection one at a time until it ends.
 asio::awaitable<void> Serve(std::shared_ptr<Connection> connection, HttpHandler handler) {
   boost::beast::flat_buffer buf;
@@ -91,7 +105,11 @@
     }
     if (pending->response->delivery == Delivery::kDrop) co_return;
     const std::string text = Serialise(*pending->response, keep_alive);
-    co_await asio::async_write(connection->socket, asio::buffer(text), asio::use_awaitable);
+    if (const std::size_t rate = pending->response->bytes_per_ms; rate > 0) {
+      co_await WriteSlowly(connection->socket, text, rate);
+    } else {
+      co_await asio::async_write(connection->socket, asio::buffer(text), asio::use_awaitable);
+    }
     if (!keep_alive || pending->response->delivery == Delivery::kTruncate) co_return;
   }
 }
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -25,6 +25,7 @@
   kSnapshotLoaded = 203,
   kSnapshotWritten = 204,
   kPlanOutdated = 205,
+  kConfigDelayed = 206,
   kKeyGranted = 210,
   kKeyWithdrawn = 211,
   kNotFresh = 212,
--- a/transport/include/sapphirewheel/transport/http_client.h
+++ b/transport/include/sapphirewheel/transport/http_client.h
@@ -23,6 +23,14 @@
   kNone,
 };
 
+// Lets a response that has begun outlast the deadline of its call while it makes progress.
+struct ResponseProgress {
+  // Maximum time without a byte of the response once it has begun.
+  Millis max_silence{0};
+  // Time limit of the whole call; at least its deadline.
+  Millis max_duration{0};
+};
+
 struct HttpCall {
   Endpoint to;
   std::string method = "GET";
@@ -31,8 +39,10 @@
   // Content-Length and Host are added.
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
-  // Time limit of the whole call, from the wait for a connection to the last byte of the response.
+  // Time limit of the whole call, from the wait for a connection to the last byte of the response;
+  // with `progress`, to its first byte.
   Millis deadline{5000};
+  std::optional<ResponseProgress> progress;
   ConnectionReuse reuse = ConnectionReuse::kAny;
   // Upper bound of open connections to the host while this call opens one, below
   // Settings::connections_per_host; 0 if only that counts.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <utility>
 
 #include "connection_pool.h"
 #include "socket_io.h"
@@ -109,6 +110,34 @@
   return {};
 }
 
+// The time limits of a call in progress.
+class CallLimits {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  CallLimits(const HttpCall& call, std::function<MonotonicTime()> now)
+      : call_(call), now_(std::move(now)), began_(Clock::now()), ends_(began_ + call.deadline) {}
+
+  [[nodiscard]] Millis Left() const {
+    const auto left = std::chrono::ceil<Millis>(ends_ - Clock::now());
+    return call_.valid_until ? std::min(left, call_.valid_until() - now_()) : left;
+  }
+  // Records that bytes of the response have arrived. Returns whether they are the first ones, after
+  // which less time may be left than before.
+  bool OnBytes() {
+    ends_ =
+        std::min(Clock::now() + call_.progress->max_silence, began_ + call_.progress->max_duration);
+    return !std::exchange(response_begun_, true);
+  }
+
+ private:
+  const HttpCall& call_;
+  const std::function<MonotonicTime()> now_;
+  const Clock::time_point began_;
+  Clock::time_point ends_;
+  bool response_begun_ = false;
+};
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -224,11 +253,14 @@
   if (IsWellFormed(call)) {
     OperationDeadline deadline(context.get_executor());
     active.insert(&deadline);
-    const auto ends = std::chrono::steady_clock::now() + call.deadline;
-    deadline.ArmWhile([this, &call, ends] {
-      const auto left = std::chrono::ceil<Millis>(ends - std::chrono::steady_clock::now());
-      return call.valid_until ? std::min(left, call.valid_until() - settings.now()) : left;
-    });
+    CallLimits limits(call, settings.now);
+    const auto arm = [&] { deadline.ArmWhile([&limits] { return limits.Left(); }); };
+    arm();
+    if (call.progress) {
+      deadline.SetOnBytes([&] {
+        if (limits.OnBytes() && !deadline.expired()) arm();
+      });
+    }
     // Stop() may have been called since the call was posted.
     if (stopping) deadline.Expire();
     result = co_await AcquireAndRun(call, deadline);
--- a/transport/src/socket_io.cc
+++ b/transport/src/socket_io.cc
@@ -72,6 +72,7 @@
   if (deadline.expired()) co_return asio::error::timed_out;
   const auto [ec, n] = co_await socket.async_read_some(buffer.prepare(kReadBytes), kAwait);
   buffer.commit(n);
+  if (n > 0) deadline.BytesRead();
   if (ec && deadline.expired()) co_return asio::error::timed_out;
   co_return ec;
 }
--- a/transport/src/socket_io.h
+++ b/transport/src/socket_io.h
@@ -41,6 +41,11 @@
   void ArmWhile(std::function<std::chrono::milliseconds()> left);
   // Sets the function that cancels the pending operation.
   void SetCancel(std::function<void()> cancel);
+  // Sets a function that is called whenever bytes have been read.
+  void SetOnBytes(std::function<void()> on_bytes) { on_bytes_ = std::move(on_bytes); }
+  void BytesRead() {
+    if (on_bytes_) on_bytes_();
+  }
   // Expires the time limit now.
   void Expire();
   [[nodiscard]] bool expired() const noexcept;
@@ -55,6 +60,7 @@
   };
   static void Wait(const std::shared_ptr<State>& state, std::chrono::milliseconds limit);
   std::shared_ptr<State> state_;
+  std::function<void()> on_bytes_;
   boost::asio::steady_timer timer_;
 };
 
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "transport/tests/test_support.h"
@@ -22,6 +23,7 @@
 using sapphirewheel::HttpResult;
 using sapphirewheel::Millis;
 using sapphirewheel::MonotonicTime;
+using sapphirewheel::ResponseProgress;
 using sapphirewheel::TestSocket;
 using sapphirewheel::WaitFor;
 
@@ -52,6 +54,31 @@
 
 HttpClient::Settings Defaults() { return {}; }
 
+constexpr Millis kResponseBegins{300};
+constexpr Millis kMaxSilence{300};
+
+// A call whose response may take longer than its deadline while it makes progress.
+HttpCall LargeGet(const Endpoint& to, Millis max_duration = Millis(10'000)) {
+  HttpCall call;
+  call.to = to;
+  call.deadline = kResponseBegins;
+  call.progress = ResponseProgress{kMaxSilence, max_duration};
+  return call;
+}
+
+// Sends a response of this many bytes, one after each pause.
+FakeServer::Script SendSlowly(std::size_t size, Millis pause) {
+  return [size, pause](TestSocket& socket, int) {
+    socket.ReadMessage();
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+    for (std::size_t n = 0; n < size; ++n) {
+      std::this_thread::sleep_for(pause);
+      socket.Send("x");
+    }
+    socket.ReadAll();
+  };
+}
+
 // A clock that the test sets, and settings for orders that observe it.
 class OrderClock {
  public:
@@ -130,6 +157,54 @@
   }
 }
 
+// Guards against a large response over a slow link that is given up again and again although it
+// makes progress.
+TEST(HttpClient, ReadsAResponseThatMakesProgressBeyondItsDeadline) {
+  FakeServer server(SendSlowly(10, Millis(60)));
+  HttpClient client(Defaults());
+  const HttpResult result = Run(client, LargeGet(server.endpoint()));
+  CHECK_TRUE_TEXT(result.outcome == HttpOutcome::kComplete, result.reason.c_str());
+  LONGS_EQUAL(10, result.body.size());
+}
+
+// Guards against a connection that goes silent in the middle of a response and is noticed only at
+// the end of the time that a large response may take.
+TEST(HttpClient, GivesUpAResponseThatGoesSilent) {
+  FakeServer server([](TestSocket& socket, int) {
+    socket.ReadMessage();
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    socket.ReadAll();
+  });
+  HttpClient client(Defaults());
+  HttpCall call = LargeGet(server.endpoint());
+  call.deadline = Millis(10'000);
+  const auto began = std::chrono::steady_clock::now();
+  const HttpResult result = Run(client, call);
+  CHECK_TRUE(result.outcome == HttpOutcome::kIncomplete);
+  CHECK_TRUE(std::chrono::steady_clock::now() - began < call.deadline / 2);
+}
+
+// Guards against waiting for a response that does not begin longer than the deadline allows.
+TEST(HttpClient, GivesUpAResponseThatDoesNotBegin) {
+  FakeServer server([](TestSocket& socket, int) {
+    socket.ReadMessage();
+    socket.ReadAll();
+  });
+  HttpClient client(Defaults());
+  const auto began = std::chrono::steady_clock::now();
+  const HttpResult result = Run(client, LargeGet(server.endpoint()));
+  CHECK_TRUE(result.outcome == HttpOutcome::kIncomplete);
+  CHECK_TRUE(std::chrono::steady_clock::now() - began < Millis(5000));
+}
+
+// Guards against a peer that keeps a call open for ever by sending a byte now and then.
+TEST(HttpClient, GivesUpAResponseThatLastsTooLong) {
+  FakeServer server(SendSlowly(30, Millis(50)));
+  HttpClient client(Defaults());
+  const HttpResult result = Run(client, LargeGet(server.endpoint(), Millis(700)));
+  CHECK_TRUE(result.outcome == HttpOutcome::kIncomplete);
+}
+
 // Guards against reporting a call without a timely response as never sent.
 TEST(HttpClient, ReportsALateResponseAsIncomplete) {
   FakeServer server([](TestSocket& socket, int) {
