Await the first list of registered servers before their tasks start elsewhere

Cause: a new owner waits 1.5 s after its load for the lists of the roster's servers when their leases are over; on small links they come later. And an owner that ended before it had a list left the time at which the runs there end in the roster; its successor took that time, which was over, and did not wait at all.

Change: a server that is in the registry is awaited for 3 s after the load, whatever the roster says. New jobs and servers without an entry do not wait.

Evidence: DispatcherRecovery.AfterASlowLoadTheFirstListOfARegisteredServerIsAwaited and ASecondSuccessorAwaitsTheFirstListToo red before; all schedules green.

Conclusion: one cause is removed; that the users met it is supposed.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -14,6 +14,9 @@
 constexpr Millis kStuckCheckInterval{300};
 // Time in which a backend server that is reachable replies to one of the first polls of an owner.
 constexpr Millis kFirstPollTime{1500};
+// Time for which the first list of a registered backend server is awaited, which may be late on a
+// busy link or because of many servers.
+constexpr Millis kFirstListTime{3000};
 
 // Whether a VM no longer runs a backend server of a pool that it ran before the report.
 bool HasLeft(const VmReport& vm, const BackendId& backend, const PoolId& pool) {
@@ -69,6 +72,7 @@
     entry.runs_end_by =
         entry.runs_end_by ? std::min(*entry.runs_end_by, longest) : std::max(latest, polled);
   }
+  impl_->first_lists_by = impl_->now_ + kFirstListTime;
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
 }
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -180,11 +180,19 @@
     }
     return forget;
   });
-  const auto removed = std::erase_if(
-      roster_pending, [&](const auto& row) { return now_ > *row.second.runs_end_by; });
+  const auto removed = std::erase_if(roster_pending, [&](const auto& row) {
+    return now_ > *row.second.runs_end_by && !AwaitsFirstList(row.first);
+  });
   if (removed > 0) place_due = true;
 }
 
+// A server whose runs are over may still list that they are done.
+bool Dispatcher::Impl::AwaitsFirstList(const BackendId& id) const {
+  if (now_ > first_lists_by) return false;
+  const auto it = backends.find(id);
+  return it != backends.end() && it->second->registered;
+}
+
 void Dispatcher::Impl::StopStuckTasks(BackendEntry& backend) {
   if (backend.failing) return;
   const std::vector<TaskKey> keys(backend.tasks.begin(), backend.tasks.end());
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -248,6 +248,48 @@
   LONGS_EQUAL(0, starts.size());
 }
 
+// Guards against a task that starts again although its end is listed: on a slow link the first
+// lists of many servers come seconds after the load.
+TEST(DispatcherRecovery, AfterASlowLoadTheFirstListOfARegisteredServerIsAwaited) {
+  now_ms = 20'000;
+  MakeDispatcher(2);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}},
+                         {BackendId("b2"), {PoolId("p"), std::nullopt}}},
+                        Now() - Millis(9000));
+  AddBackend("b1");
+  AddBackend("b2");
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  silent.insert(BackendId("b1"));
+  Advance(2500);
+  LONGS_EQUAL(0, starts.size());
+  silent.clear();
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+}
+
+// As above for the successor of an owner that ended before it had seen the list: the roster then
+// names the time at which the runs on the server have ended, and that is over.
+TEST(DispatcherRecovery, ASecondSuccessorAwaitsTheFirstListToo) {
+  now_ms = 20'000;
+  MakeDispatcher(3);
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), Now() - Millis(100)}},
+                         {BackendId("b2"), {PoolId("p"), std::nullopt}}},
+                        Now());
+  AddBackend("b1");
+  AddBackend("b2");
+  ended[BackendId("b1")].push_back(
+      {next_end++, {JobId("j1"), 0, 0, 0}, RunNumber(1), RunEnd::kDone, ""});
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  silent.insert(BackendId("b1"));
+  Advance(1000);
+  LONGS_EQUAL(0, starts.size());
+  silent.clear();
+  Advance(3000);
+  LONGS_EQUAL(0, starts.size());
+}
+
 // A server of the roster that never replies delays the tasks of earlier owners only for a short
 // time after a load that took longer than its lease.
 TEST(DispatcherRecovery, StartsElsewhereWhenAServerOfTheRosterDoesNotReplyAfterASlowLoad) {
