Await late copies of a confirmed start on a silent restarted server

Cause: a start without a reply may be carried out seconds later, also by the next life of its server. If its repetition was confirmed, the run was taken to end by the usual lease; late copies were left to the stop that bars them in the new life, which a silent server cannot be told.

Change: in a server that has restarted and has not confirmed that stop, such a run counts until the unanswered copy could have used the longest lease.

Evidence: DispatcherRestart.ALateCopyOfAConfirmedStartIsAwaitedOnASilentNextIncarnation red before.

Conclusion: one path to two runs at once is closed; that the users met it is supposed.

--- a/coordination/src/dispatcher_unanswered.cc
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -69,9 +69,15 @@
   const TaskState& task = *Find(key).task;
   const auto it = backend.unanswered_starts.find({key, task.run});
   if (it == backend.unanswered_starts.end()) return backend.lease_end;
-  const MonotonicTime at = it->second.at;
-  // What is left then are copies that come late, which a later incarnation is told to refuse.
-  if (task.confirmed_at > at || it->second.not_delivered) return backend.lease_end;
+  const UnansweredStart& start = it->second;
+  const MonotonicTime at = start.at;
+  if (start.not_delivered) return backend.lease_end;
+  if (task.confirmed_at > at) {
+    // What is left are copies that come late. A later incarnation refuses them only when it has
+    // been told to.
+    if (start.harmless_in == backend.report.started_at) return backend.lease_end;
+    return std::max(backend.lease_end, at + kMaxOrderDelay + LeaseTime(settings.max_lease));
+  }
   const bool restarted =
       backend.listed_incarnation && *backend.listed_incarnation != backend.report.started_at;
   const MonotonicTime last = std::max(at, backend.last_lease_order.value_or(at));
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -177,6 +177,45 @@
   }
 }
 
+// Guards against two runs of a task: its first start had no reply, the repeated one was confirmed,
+// and the next incarnation, which is silent, carries the first one out late.
+TEST(DispatcherRestart, ALateCopyOfAConfirmedStartIsAwaitedOnASilentNextIncarnation) {
+  constexpr int kOrderTimeout = 600;
+  constexpr int kMaxDelay = 13'000;
+  constexpr int kLongestLease = 10'000;
+  now_ms = 100'000;
+  MakeDispatcher(1);
+  AddBackend("b1");
+  AddBackend("b2");
+  Advance(500);
+  AddJob("j1", {Step(1, 1000)});
+  silent = {BackendId("b1"), BackendId("b2")};
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  const StartOrder first = starts[0];
+  const int sent = now_ms;
+  silent = {first.backend};
+  Advance(kOrderTimeout);
+  dispatcher->OnStart(first, {OrderOutcome::kUnknown, std::nullopt}, Now());
+  // The start is repeated after a list and confirmed.
+  silent.clear();
+  Advance(2000);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(starts[1].backend == first.backend && starts[1].run == first.run);
+  silent = {first.backend};
+  started_at = 2;
+  AddBackend(first.backend.str().c_str());
+  started_at = 1;
+  const auto elsewhere = [&] {
+    return std::any_of(starts.begin(), starts.end(),
+                       [&](const StartOrder& it) { return it.backend != first.backend; });
+  };
+  constexpr int kLongEnough = 40'000;
+  while (!elsewhere() && now_ms < sent + kLongEnough) Advance(100);
+  CHECK(elsewhere());
+  CHECK(now_ms - sent >= kMaxDelay + kLongestLease);
+}
+
 // Guards against tasks that wait for the longest lease of a server that has ended: its VM ran
 // another one when the start could no longer be on the way. Also against two runs of a task on a
 // server that is cut off, whose VM is listed as down.
