Follow jobs without a wait after a poll that had no reply

What callers would see: after an outage of the table service the owner starts tasks of jobs whose cancel was answered right before it. Seen in the simulation.

Cause: a poll of the jobs that is sent during the outage ends only after its wait and its time limit, 3.2 s, and keeps the owner from reading for up to 3.3 s after the end. The simulator ended such polls early; now it applies their limits.

Change: after a poll without a reply the next ones do not wait.

Evidence: FleetSchedule.CancelsBeforeAnOutageTakeEffectSoonAfterIt red before.

--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -297,11 +297,13 @@
                                 const std::function<void()>& resync) {
   if (feed.in_flight || ports.now() < feed.next) return;
   feed.in_flight = true;
-  ports.store.Follow(feed.table, feed.after, kFollowWait,
-                     WhileInProgress(kFollowWait + kStoreTimeout),
+  // Polls during an outage do not wait, so that one of them is answered soon after the end of it.
+  const Millis wait = feed.reachable ? kFollowWait : Millis(0);
+  ports.store.Follow(feed.table, feed.after, wait, WhileInProgress(wait + kStoreTimeout),
                      OnRows([this, &feed, handle_row, resync](const RowsReply& reply) {
                        feed.in_flight = false;
                        feed.next = ports.now() + feed.pause;
+                       feed.reachable = reply.outcome == StoreOutcome::kDone;
                        if (reply.outcome == StoreOutcome::kHistoryGone) {
                          resync();
                          return;
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -28,6 +28,8 @@
   Millis pause{0};
   MonotonicTime next;
   bool in_flight = false;
+  // The last poll had a reply.
+  bool reachable = true;
 };
 
 // Calls a function when the last reference to the guard is released, that is when the last of
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -199,6 +199,42 @@
   });
 }
 
+// Guards against tasks of cancelled jobs that run on after an outage of the table service: a poll
+// of the jobs that was sent during the outage waited for its whole time limit after the end of it.
+TEST(FleetSchedule, CancelsBeforeAnOutageTakeEffectSoonAfterIt) {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 1;
+  FleetSim sim(settings);
+  sim.lease_expiry_forbidden = false;
+  sim.RunUntil(1500);
+  constexpr int kJobs = 30;
+  for (int n = 0; n < kJobs; ++n) sim.SubmitRandomJob();
+  constexpr std::int64_t kDownAt = 5000;
+  std::int64_t at = kDownAt - 3 * kJobs;
+  sim.RunUntil(at);
+  for (auto& [id, job] : sim.jobs) {
+    sim.At(at, [&sim, &job = job] { sim.Cancel(job); });
+    at += 3;
+  }
+  sim.RunUntil(kDownAt);
+  sim.SetStoreDown(true);
+  constexpr std::int64_t kOutage = 3500;
+  sim.RunUntil(kDownAt + kOutage);
+  sim.SetStoreDown(false);
+  // A poll that is on the way, the next one, and the stop.
+  constexpr std::int64_t kCatchUp = 2000;
+  sim.RunUntil(kDownAt + kOutage + kCatchUp);
+  int cancelled = 0;
+  for (const auto& [id, job] : sim.jobs) cancelled += job.cancel_answered_at ? 1 : 0;
+  CHECK(cancelled > kJobs / 2);
+  for (const auto& [name, backend] : sim.backends) {
+    for (const auto& [task, run] : backend.running) {
+      const auto it = sim.jobs.find(JobId(task.substr(0, task.find('.'))));
+      CHECK_FALSE_TEXT(it->second.cancel_answered_at.has_value(), task.c_str());
+    }
+  }
+}
+
 TEST(FleetSchedule, HistoryIsDropped) {
   RunSeeds({}, [](FleetSim& sim, int) { sim.DropHistory(); });
 }
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -192,7 +192,7 @@
       if (Reachable())
         DeliverRows(2 + sim_.Draw(4), left, reply, done);
       else
-        Deliver(std::min<std::int64_t>(1000, left.begin.count()), RowsReply{}, done);
+        Deliver(left.begin.count(), RowsReply{}, done);
     };
     sim_.followers_.push_back({table, after.count(), sim_.now_ + wait.count(), once});
     sim_.WakeFollowers();
