Move the bound of connections to a backend server out of the adapter

Change: kMaxBackendConnections stands beside the BackendServers interface in coordination; the adapter only applies it. No behaviour changes.

--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -110,9 +111,14 @@
                       const ReplyLimits& limits, RowsCallback done) = 0;
 };
 
-// Sends orders to backend servers. An order is not written after its permit has ended. One that has
-// no reply by then is aborted, so that nothing of it can arrive later from the sender's VM, and
-// ends as unknown.
+// Maximum number of connections of one node to a backend server, which accepts a limited number
+// from all nodes: those of former owners, which may be frozen, must leave some for their
+// successors.
+inline constexpr std::size_t kMaxBackendConnections = 4;
+
+// Sends orders to backend servers, over kMaxBackendConnections to each at most. An order is not
+// written after its permit has ended. One that has no reply by then is aborted, so that nothing of
+// it can arrive later from the sender's VM, and ends as unknown.
 class BackendServers {
  public:
   virtual ~BackendServers() = default;
