Allow leases to expire when owners are frozen twice in a row

Cause: FleetSchedule.OwnerFreezesAndResumes called it a violation when the lease of a reachable server expired although the owner and its successor, or the same owner twice, were frozen within one takeover.

Change: the check of OwnerIsKilled for two losses within 6 s, applied to freezes; all other checks stay. Freezes appear in the trace.

--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -167,6 +167,11 @@
   RunSeeds({}, [](FleetSim& sim, int) {
     const int owner = sim.OwnerNode();
     if (owner < 0) return;
+    // If owners are frozen twice within the time of a takeover, nobody extends the leases.
+    constexpr std::int64_t kTakeover = 6000;
+    if (sim.now() - sim.owner_frozen < kTakeover) sim.lease_expiry_forbidden = false;
+    sim.owner_frozen = sim.now();
+    sim.Trace(owner, "frozen");
     sim.SetFrozen(owner, true);
     sim.At(sim.now() + 500 + sim.Draw(8000), [&sim, owner] { sim.SetFrozen(owner, false); });
   });
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -166,6 +166,7 @@
   // Whether it is a violation if the lease of a reachable backend server expires.
   bool lease_expiry_forbidden = true;
   std::int64_t owner_killed = -1'000'000;
+  std::int64_t owner_frozen = -1'000'000;
   // Claims of the ownership without a reply since then.
   int unanswered_claims = 0;
   // When an owner last loaded the stored state.
