--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -134,7 +134,8 @@
   // dispatcher_orders.cc
   // Whether it replies, so that its lease may be extended if it is also in the written roster.
   [[nodiscard]] bool IsTrusted(const BackendEntry& backend) const;
-  // Whether a server of the roster is to be heard of before its tasks start elsewhere.
+  // Whether tasks of a server in the roster have to wait for its first list before they start
+  // elsewhere.
   [[nodiscard]] bool AwaitsFirstList(const BackendId& id) const;
   // Whether the last written roster lets it have new work.
   [[nodiscard]] bool IsInRoster(const BackendEntry& backend) const;
@@ -296,6 +297,7 @@
   ShareMeter share_meter;
   // Backend servers that an earlier owner may have used and that have not replied yet.
   Roster roster_pending;
+  // Until then, those of them that are registered are awaited even if their runs have ended.
   MonotonicTime first_lists_by;
   // Pools with backend servers in roster_pending, and what earlier owners may have running there,
   // as of the present placement round.
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -39,7 +39,7 @@
 }
 
 void EntryNode::Impl::PollConfig(MonotonicTime now) {
-  // A poll that is still open by then has a reply that is on the way and shows an unknown change.
+  // A poll that is open for longer has a reply on the way, which may show a newer configuration.
   const bool arriving = config_in_flight && now - config_sent > config_limits.begin;
   admission_controller.SetCatchingUp(config_late || arriving);
   if (config_in_flight || now < next_config_poll) return;
--- a/coordination/src/read_pacer.h
+++ b/coordination/src/read_pacer.h
@@ -33,8 +33,8 @@
   void OnTimeout() noexcept { Shrink(); }
 
  private:
-  // Fewer rows only when reads run one after the other: with an unreachable or slow service, which
-  // cannot be told from a slow link, small pages would cost more.
+  // Fewer rows only when reads run one after the other: if the service has become slow since
+  // reply_delay_ was measured, small pages would cost more.
   void Shrink() noexcept {
     constexpr int kMinRows = 1;
     if (reads_ == 1) rows_ = std::max(rows_ / 2, kMinRows);
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -43,9 +43,8 @@
       {Event::kPlanOutdated, kInfo, "plan-outdated",
        "A plan was rejected because its basis has changed.", "Review and confirm the new plan."},
       {Event::kConfigDelayed, kWarning, "config-delayed",
-       "A configuration took long to arrive on this VM's link; meanwhile the node served calls "
-       "only "
-       "as long as its previous configuration allowed.",
+       "A configuration took long to arrive on this VM's link. Meanwhile the node served calls "
+       "only as long as the previous one allowed.",
        "If this repeats, make the configuration smaller or give the VM a faster link."},
       {Event::kKeyGranted, kInfo, "key-granted",
        "A key has been granted and is accepted from now on.", kNone},
