Let every load of the stored state succeed in the end

What callers would see: with state that takes more than 40 s on the links of all nodes, no owner ever loads it, and nothing is placed.

Cause: gave owners that make progress 40 s at most. Before, the limit grew with each owner in a row that did not load.

Change: the limit is 40 s, or 4 s for each such owner if that is longer.

Evidence: FleetSchedule.OwnerOnASlowLinkLoadsInTheEndHoweverLongItTakes (2 Mbit/s, 2,600 jobs of 4,000 bytes) red before, green after.

--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -22,7 +22,8 @@
 // Time in which the first owner has to load the stored state; others may have faster links. Their
 // successors may go on for as long as pages arrive, because no node may be faster.
 constexpr Millis kLoadTime{4000};
-// Time in which an owner has to load it however many pages arrive.
+// Time in which an owner has to load it however many pages arrive; longer once kLoadTime for each
+// owner in a row that did not is, so that every load succeeds in the end.
 constexpr Millis kMaxLoadTime{40'000};
 // Time for which a node that gave the ownership back unloaded claims nothing.
 constexpr Millis kLoadBackOff{8000};
@@ -233,7 +234,7 @@
 bool FleetOwner::Impl::LoadsTooLong(MonotonicTime now) const {
   const int loads_failed = lease.row()->loads_failed;
   const Millis passed = now - taken_at;
-  if (passed > kMaxLoadTime) return true;
+  if (passed > std::max(kMaxLoadTime, kLoadTime * loads_failed)) return true;
   const bool progress = loads_failed > 1 && now - page_read_at < kLoadTime;
   return passed > kLoadTime * loads_failed && !progress;
 }
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -394,6 +394,12 @@
   LoadOnSlowLinks(4000, 1000, 30, 1);
 }
 
+// Guards against a maximum load time in which state of some size can never be loaded: the rows take
+// over 40 s on the link.
+TEST(FleetSchedule, OwnerOnASlowLinkLoadsInTheEndHoweverLongItTakes) {
+  LoadOnSlowLinks(4000, 2600, 700, 1);
+}
+
 // Guards against a weak VM that keeps the ownership while strong ones are up: its node is the first
 // to start, and has to be the owner for no longer than a takeover takes.
 TEST(FleetSchedule, AStrongNodeTakesOverFromAWeakOne) {
