--- a/transport/tests/http_server_test.cc
+++ b/transport/tests/http_server_test.cc
@@ -234,14 +234,15 @@
   CHECK_TRUE(
       WaitFor([this] { return server->ActiveRequests() == 1 && server->OpenConnections() == 2; }));
   server->CloseIdle();
-  // Idle connections are closed after the listener. A connect meanwhile could be repeated after 1
-  // s, when the time in which the request has to arrive is over.
+  // Shows that the close has begun. A connect would not do: one that meets the close of the
+  // listener may be repeated after 1 s, when the time in which the request has to arrive is over.
   STRCMP_EQUAL("", idle->ReadAll().c_str());
   CHECK_FALSE(server->Drained());
   socket->Send("Host: h\r\n\r\n");
   CHECK_TRUE(Contains(socket->ReadAll(), "/part"));
   CHECK_TRUE(WaitFor([this] { return server->Drained(); }));
   LONGS_EQUAL(0, server->ActiveRequests());
+  CHECK_TRUE(WaitFor([this] { return !TestSocket::Connect(address)->Valid(); }));
 }
 
 // Guards against a request that gets no answer because the time of a stop is over.
