Log of which incarnation a run is found in, and what a new owner stops waiting for

Cause: the logs could not tell the hypotheses about two runs at once apart. A successor dropped the servers that it had not heard of without a line, and a run that was found did not show whether its server had restarted. Change: backend-gone for each server of the roster that is given up, the start time and clock of the server in found and orphan runs, and the last order without a reply in lost runs. No decision changes.

--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -123,18 +123,22 @@
   if (other_clock) ExpectLongerLease(backend, now_ + kMaxOrderDelay, *until);
 }
 
+std::string Dispatcher::Impl::DescribeIncarnation(const BackendEntry& backend) const {
+  std::string text = "start time " + std::to_string(backend.report.started_at.count());
+  if (!backend.clock) return text + ", clock not known";
+  return text + ", clock " + std::to_string(backend.clock->count()) + " read " +
+         std::to_string((now_ - backend.clock_read_at).count()) + " ms ago";
+}
+
 std::string Dispatcher::Impl::DescribeLease(const BackendEntry& backend) const {
   const auto age = [this](MonotonicTime at) { return std::to_string((now_ - at).count()); };
-  std::string text = "start time " + std::to_string(backend.report.started_at.count());
-  if (backend.clock) {
-    text += ", clock " + std::to_string(backend.clock->count()) + " read " +
-            age(backend.clock_read_at) + " ms ago";
-  } else {
-    text += ", clock not known";
-  }
+  std::string text = DescribeIncarnation(backend);
   if (backend.last_lease_order) {
     text += ", last extended " + age(*backend.last_lease_order) + " ms ago";
   }
+  if (backend.last_lease_unanswered) {
+    text += ", last without a reply " + age(*backend.last_lease_unanswered) + " ms ago";
+  }
   return text + ", ended " + age(backend.lease_end) + " ms ago";
 }
 
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -255,7 +255,12 @@
     return forget;
   });
   const auto removed = std::erase_if(roster_pending, [&](const auto& row) {
-    return now_ > *row.second.runs_end_by && !AwaitsFirstList(row.first);
+    const auto& [id, entry] = row;
+    if (now_ <= *entry.runs_end_by || AwaitsFirstList(id)) return false;
+    Report(DecisionKind::kBackendGone, JobId(), "", id, RunNumber(),
+           "not heard of since the takeover; what earlier owners started there ended " +
+               std::to_string((now_ - *entry.runs_end_by).count()) + " ms ago at the latest");
+    return true;
   });
   if (removed > 0) place_due = true;
 }
--- a/coordination/src/dispatcher_runs.cc
+++ b/coordination/src/dispatcher_runs.cc
@@ -154,7 +154,7 @@
   it->second.unknown_size = !ref;
   if (ref) it->second.charge = ref.spec->Charge();
   Report(DecisionKind::kTaskStopped, row.task.job, row.task.str(), backend.report.id, row.run,
-         "orphan run, no longer needed");
+         "orphan run, no longer needed; " + DescribeIncarnation(backend));
 }
 
 void Dispatcher::Impl::AdoptRun(BackendEntry& backend, const ListedRun& row, const TaskRef& ref) {
@@ -174,7 +174,7 @@
   task.load = row.load;
   task.checkpoint = row.checkpoint;
   Report(DecisionKind::kTaskStarted, row.task.job, row.task.str(), backend.report.id, row.run,
-         "found running");
+         "found running; " + DescribeIncarnation(backend));
 }
 
 // Requeues tasks that a poll does not list although it was sent after their order was confirmed.
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -163,6 +163,8 @@
   // An order is sent that extends the lease to `until`.
   void RecordLeaseOrder(BackendEntry& backend, BackendClock until);
   void RecordUnansweredLease(BackendEntry& backend, const std::optional<BackendClock>& until);
+  // For the log: the incarnation that is known, and its clock.
+  [[nodiscard]] std::string DescribeIncarnation(const BackendEntry& backend) const;
   // For the log: what the end of the lease was computed from.
   [[nodiscard]] std::string DescribeLease(const BackendEntry& backend) const;
 
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -186,7 +186,10 @@
        "A backend server does not respond and gets no new work.",
        "If it stays unreachable, check the backend server and the network to it."},
       {Event::kBackendGone, kInfo, "backend-gone",
-       "A backend server has left or was restarted; its runs have ended.", kNone},
+       "A backend server has left, was restarted, or was not heard of by a new owner until its "
+       "runs "
+       "had ended.",
+       kNone},
       {Event::kBackendDraining, kInfo, "backend-draining",
        "A backend server is about to leave and gets no new work.", kNone},
       {Event::kEvacuationBegun, kInfo, "evacuation-begun",
