Reproduce two runs at once on servers that restart and are cut off

Change: the simulation and the fake servers carry out, in the next incarnation, calls that waited while a server was down.

--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -31,6 +31,10 @@
     // Of the calls to a backend server that is down, those that its next incarnation carries out if
     // it is up before they time out, as a connect that the kernel repeats.
     double calls_to_next_incarnation = 0;
+    // Of the calls to a backend server that is down, those that its next incarnation carries out
+    // when it begins, however long ago they were given up: calls that wait in the queue of a
+    // listening socket. Their replies are lost.
+    double queued_calls = 0;
   };
   // What work costs a node's processor. Calls and replies are handled one at a time in the order in
   // which they are sent and arrive, those of the table service among those of backend servers.
@@ -108,6 +112,8 @@
       std::function<void(const PollReply&)> done;
     };
     std::vector<PendingPoll> polls;
+    // Calls that the next incarnation carries out.
+    std::vector<std::function<void(Backend&)>> queued_calls;
   };
   struct Node {
     std::unique_ptr<EntryNode> entry;
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -379,6 +379,12 @@
       });
       return;
     }
+    if (WaitsInQueue(order.backend)) {
+      sim_.backends.at(order.backend).queued_calls.push_back([this, order](auto& it) {
+        sim_.PollBackend(it, order, [](const PollReply&) {});
+      });
+      return;
+    }
     const std::int64_t connect = ConnectTime(order.backend, kTimeout);
     const std::int64_t latency = 1 + sim_.Draw(5);
     sim_.At(sim_.now_ + connect + latency, [this, order, once, latency] {
@@ -406,6 +412,14 @@
     return sim_.Draw() < repeated ? sim_.Draw(static_cast<int>(timeout)) : 0;
   }
 
+  // Whether a call to a backend server that is down waits for its next incarnation.
+  bool WaitsInQueue(const BackendId& id) {
+    const double queued = sim_.settings_.faults.queued_calls;
+    const auto it = sim_.backends.find(id);
+    if (queued == 0 || it == sim_.backends.end()) return false;
+    return !it->second.alive && !IsCutOff(it->second) && sim_.Draw() < queued;
+  }
+
   // Lets a backend server carry out an order seconds later.
   template <typename Handler>
   void DeliverLate(const BackendId& id, Handler handle_order) {
@@ -423,6 +437,11 @@
   void SendOrder(const BackendId& id, const std::function<void(const OrderReply&)>& done,
                  Handler handle_order) {
     constexpr std::int64_t kTimeout = 900;
+    if (WaitsInQueue(id)) {
+      sim_.backends.at(id).queued_calls.push_back(handle_order);
+      sim_.At(sim_.now_ + kTimeout, [this, done] { DeliverNow(OrderReply{}, done); });
+      return;
+    }
     const auto it = sim_.backends.find(id);
     const std::int64_t connect = ConnectTime(id, kTimeout);
     const bool there = it != sim_.backends.end() && !IsCutOff(it->second);
--- a/coordination/tests/fleet_sim_servers.cc
+++ b/coordination/tests/fleet_sim_servers.cc
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <utility>
 
 #include "fleet_sim_ports.h"
 
@@ -48,6 +49,7 @@
     again.next_end = 1;
     again.seen = 0;
     again.lease_until = 0;
+    for (const auto& handle_call : std::exchange(again.queued_calls, {})) handle_call(again);
     At(now_ + unregistered_for, [this, next] { RegisterBackend(backends.at(next)); });
   });
 }
