Count leases of an earlier owner by the longest lease that a server accepts

What callers saw: a task ran twice at the same time. Servers had restarted under their ids and were cut off soon after, and the owner changed. The successor of an owner that was lost before it heard of the restart waited for the usual one, 6.6 s. The class: the bound of a lease was computed from what the owner knew, not from what its orders can have done. Change: leases on servers of the roster count for the delivery of an order and the longest lease after the takeover; also after the first list, which is what fences earlier owners. A start on the way counts so in the roster.

--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -63,13 +63,13 @@
 void Dispatcher::SetRoster(const Roster& roster, MonotonicTime taken_at) {
   impl_->roster_pending = roster;
   for (auto& [id, entry] : impl_->roster_pending) {
-    const MonotonicTime usual = taken_at + impl_->LeaseBound();
-    const MonotonicTime latest = std::max(usual, entry.longer_lease_until.value_or(usual));
+    // The earlier owner may have been lost before it heard of a restart.
+    const MonotonicTime last = taken_at + impl_->LongestLeaseBound(kOrderDelivery);
+    const MonotonicTime latest = std::max(last, entry.longer_lease_until.value_or(last));
     // A server that replied to the earlier owner may still list ends that nobody has seen, so it is
     // polled once, also when its runs are over because loading took long.
     const MonotonicTime polled = impl_->now_ + kFirstPollTime;
-    const MonotonicTime longest =
-        taken_at + kMaxOrderDelay + Impl::LeaseTime(impl_->settings.max_lease);
+    const MonotonicTime longest = taken_at + impl_->LongestLeaseBound(kMaxOrderDelay);
     entry.runs_end_by =
         entry.runs_end_by ? std::min(*entry.runs_end_by, longest) : std::max(latest, polled);
   }
--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -85,6 +85,13 @@
 }
 
 void Dispatcher::Impl::RecordClock(BackendEntry& backend, const PollReply& reply) {
+  // Until this poll an earlier owner may have extended the lease.
+  const auto pending = roster_pending.find(backend.report.id);
+  if (pending != roster_pending.end()) {
+    const MonotonicTime longest = now_ + LeaseTime(settings.max_lease);
+    backend.lease_end =
+        std::max(backend.lease_end, std::min(longest, *pending->second.runs_end_by));
+  }
   const bool restarted =
       backend.listed_incarnation && *backend.listed_incarnation != reply.started_at;
   backend.listed_incarnation = reply.started_at;
@@ -116,7 +123,7 @@
   if (!until) return;
   backend.last_lease_unanswered = now_;
   if (backend.runs_in_unlisted) {
-    KeepLongerLease(backend, now_ + kMaxOrderDelay + LeaseTime(settings.max_lease));
+    KeepLongerLease(backend, now_ + LongestLeaseBound(kMaxOrderDelay));
   }
   if (!backend.clock) return;
   const bool other_clock = until->count() > NewLeaseEnd(backend).count() + kLeaseSlack.count();
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -56,6 +56,11 @@
   }
   // Longest time that a run can continue after the last order that could extend its lease.
   [[nodiscard]] Millis LeaseBound() const { return LeaseTime(settings.lease); }
+  // The same if the order may have reached an incarnation that was not known, which takes the lease
+  // for a time on its own clock, and arrived within `delivery`.
+  [[nodiscard]] Millis LongestLeaseBound(Millis delivery) const {
+    return delivery + LeaseTime(settings.max_lease);
+  }
 
   // dispatcher_jobs.cc
   void AddJob(StoredJob stored, const std::optional<JobProgress>& progress, bool inherited);
--- a/coordination/src/dispatcher_unanswered.cc
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -68,7 +68,12 @@
 MonotonicTime Dispatcher::Impl::RunEndsBy(const BackendEntry& backend, const TaskKey& key) {
   const TaskState& task = *FindOn(key, backend).task;
   const auto it = backend.unanswered_starts.find({key, task.run});
-  if (it == backend.unanswered_starts.end()) return backend.lease_end;
+  if (it == backend.unanswered_starts.end()) {
+    if (task.phase != TaskPhase::kStarting || !backend.last_lease_order) return backend.lease_end;
+    // It is not known yet which incarnation the start reaches.
+    return std::max(backend.lease_end,
+                    *backend.last_lease_order + LongestLeaseBound(kOrderDelivery));
+  }
   const UnansweredStart& start = it->second;
   const MonotonicTime at = start.at;
   if (start.not_delivered) return backend.lease_end;
@@ -76,13 +81,13 @@
     // What is left are copies that come late. A later incarnation refuses them only when it has
     // been told to.
     if (start.harmless_in == backend.report.started_at) return backend.lease_end;
-    return std::max(backend.lease_end, at + kMaxOrderDelay + LeaseTime(settings.max_lease));
+    return std::max(backend.lease_end, at + LongestLeaseBound(kMaxOrderDelay));
   }
   const bool restarted =
       backend.listed_incarnation && *backend.listed_incarnation != backend.report.started_at;
   const MonotonicTime last = std::max(at, backend.last_lease_order.value_or(at));
   const Millis delivery = restarted ? kMaxOrderDelay : kOrderDelivery;
-  return std::max(backend.lease_end, last + delivery + LeaseTime(settings.max_lease));
+  return std::max(backend.lease_end, last + LongestLeaseBound(delivery));
 }
 
 MonotonicTime Dispatcher::Impl::RunsEndBy(const BackendEntry& backend) {
@@ -98,7 +103,7 @@
 }
 
 void Dispatcher::Impl::ForgetLateStarts(BackendEntry& backend) const {
-  const Millis keep = kMaxOrderDelay + LeaseTime(settings.max_lease);
+  const Millis keep = LongestLeaseBound(kMaxOrderDelay);
   std::erase_if(backend.unanswered_starts,
                 [&](const auto& it) { return now_ > it.second.at + keep; });
 }
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -17,6 +17,12 @@
 
 inline constexpr Resources kServer{8000, 16'000, 0};
 
+// Longer than the usual lease of a backend server's runs.
+inline constexpr int kAfterUsualLease = 7000;
+// Longer than a new owner waits for the runs on a server that it has not heard of: the delivery of
+// an order and the longest lease.
+inline constexpr int kAfterLongestLease = 12'000;
+
 inline StepSpec Step(int count, std::int64_t cpu) {
   StepSpec step;
   step.count = count;
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -2,11 +2,15 @@
 
 using namespace sapphirewheel;  // NOLINT(google-build-using-namespace)
 using sapphirewheel::testing::DispatcherFixture;
+using sapphirewheel::testing::kAfterLongestLease;
 using sapphirewheel::testing::Step;
 
 namespace {
 
 constexpr std::int64_t kLease = 6000;
+constexpr int kLongestLease = 10'000;
+// Time in which an order reaches a server, unless it is carried out late.
+constexpr int kOrderDelivery = 900;
 
 // A backend server that restarts under its id, with a clock that starts anew.
 class RestartFixture : public DispatcherFixture {
@@ -22,6 +26,13 @@
     reply.started_at = UnixMillis(started_at);
     dispatcher->OnPoll(order, reply, Now(), Now());
   }
+
+  // Advances the time until the first start.
+  void AwaitStart() {
+    constexpr int kMost = 300;
+    for (int n = 0; n < kMost && starts.empty(); ++n) Advance(100);
+    LONGS_EQUAL(1, starts.size());
+  }
 };
 
 }  // namespace
@@ -59,7 +70,6 @@
   for (int n = 0; n < 100 && starts.size() == 1; ++n) Advance(100);
   LONGS_EQUAL(2, starts.size());
   // Until then the longest lease, which was granted by the last poll, has less left than the usual.
-  constexpr int kLongestLease = 10'000;
   CHECK(now_ms - known >= kLongestLease - kLease - 700);
 }
 
@@ -142,7 +152,6 @@
 // Guards against two runs of a task: a start without a reply was taken by the next incarnation,
 // whose clock started anew, so that it holds the longest lease; then the server is disconnected.
 TEST(DispatcherRestart, ARunThatTheNextIncarnationTookEndsByTheLongestLease) {
-  constexpr int kLongestLease = 10'000;
   constexpr int kOrderTimeout = 600;
   for (const bool entry : {false, true}) {
     now_ms = 100'000;
@@ -182,7 +191,6 @@
 TEST(DispatcherRestart, ALateCopyOfAConfirmedStartIsAwaitedOnASilentNextIncarnation) {
   constexpr int kOrderTimeout = 600;
   constexpr int kMaxDelay = 13'000;
-  constexpr int kLongestLease = 10'000;
   now_ms = 100'000;
   MakeDispatcher(1);
   AddBackend("b1");
@@ -222,7 +230,6 @@
 TEST(DispatcherRestart, ARunOfAServerThatItsVmHasLeftEndsByTheUsualLease) {
   constexpr int kOrderTimeout = 600;
   constexpr int kLeaseBound = 6600;
-  constexpr int kLongestLease = 10'000;
   for (const bool left : {true, false}) {
     running.clear();
     starts.clear();
@@ -310,12 +317,72 @@
   AddBackend("b2");
   AddBackend("b1");
   AddJob("j1", {Step(1, 1000)}, "", true);
-  constexpr int kLongestLease = 10'000;
   for (int n = 0; n < 200 && starts.empty(); ++n) Advance(100);
   LONGS_EQUAL(1, starts.size());
   CHECK(now_ms - known >= kLongestLease - 700);
 }
 
+// Guards against two runs of a task after a change of owner: a silent server has restarted and
+// holds the longest lease by an order of the earlier owner, which did not know of the restart.
+TEST(DispatcherRestart, ASuccessorAwaitsTheLongestLeaseOfASilentServer) {
+  MakeDispatcher(2);
+  const int taken = now_ms;
+  dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}}}, Now());
+  silent = {BackendId("b1")};
+  AddBackend("b1");
+  AddBackend("b2");
+  AddJob("j1", {Step(1, 1000)}, "", true);
+  AwaitStart();
+  CHECK(now_ms - taken >= kLongestLease + kOrderDelivery);
+  CHECK(now_ms - taken <= kAfterLongestLease);
+}
+
+// Guards against two runs of a task: a server holds the longest lease by an order of the earlier
+// owner, and is disconnected soon after its first list to the new one.
+TEST(DispatcherRestart, ASuccessorAwaitsTheLongestLeaseOfAServerThatItLosesSoon) {
+  for (const bool adopted : {true, false}) {
+    running.clear();
+    starts.clear();
+    silent.clear();
+    MakeDispatcher(2);
+    dispatcher->SetRoster({{BackendId("b1"), {PoolId("p"), std::nullopt}}}, Now());
+    AddBackend("b1");
+    const TaskKey task{JobId("j1"), 0, 0, 0};
+    if (adopted) {
+      running[BackendId("b1")] = {{task, RunNumber(1), "", 10, 0}};
+      AddJob("j1", {Step(1, 1000)}, "", true);
+    }
+    Advance(40);
+    const int listed = now_ms;
+    if (!adopted) AddJob("j1", {Step(1, 1000)});
+    Advance(40);
+    LONGS_EQUAL(1, running[BackendId("b1")].size());
+    starts.clear();
+    silent = {BackendId("b1")};
+    AddBackend("b2");
+    AwaitStart();
+    CHECK(starts[0].backend == BackendId("b2"));
+    CHECK(now_ms - listed >= kLongestLease);
+  }
+}
+
+// Guards against two runs of a task: a server leaves the registry while a start is on the way to
+// it, which its next incarnation may carry out, and the owner is lost.
+TEST(DispatcherRestart, TheRosterCountsAStartOnTheWayByTheLongestLease) {
+  AddBackend("b1");
+  Advance(500);
+  AddJob("j1", {Step(1, 1000)});
+  silent = {BackendId("b1")};
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  dispatcher->RemoveBackend(BackendId("b1"), Now());
+  const auto roster = dispatcher->RosterToWrite();
+  CHECK(roster.has_value());
+  const auto ends = roster->at(BackendId("b1")).runs_end_by;
+  CHECK(ends.has_value());
+  CHECK(*ends >= Now() + Millis(kLongestLease));
+}
+
 // Guards against starts above the limit of a team, 3 cores, after a takeover: the run of a job that
 // was cancelled under the earlier owner is still being stopped.
 TEST(DispatcherRestart, OrphansCountForTheLimitOfTheirTeam) {
