Count polls that were given up before a server was back for its lease

Cause: a poll was given up while its server was down, waited in the queue of the listening socket, and the next incarnation carried it out, with a lease by the clock of the former one. RecordClock counted an order without a reply only if it had ended after the server had started. What the owner then placed there outlived the lease that it counted. Change: such an order counts if it may have waited for the server, and nothing is placed there while the lease is longer than the usual one, about 4 s.

--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -101,13 +101,16 @@
   if (!restarted) return;
   const auto longest = std::exchange(backend.longest_lease, std::nullopt);
   if (!longest) return;
-  // Only orders that were sent since it has started can have reached it.
   const MonotonicTime started = now_ - LeaseTime(Millis(reply.clock.count()));
+  // An order with a reply has reached it only if it was sent since it has started.
   if (backend.last_lease_order && *backend.last_lease_order + kOrderDelivery > started) {
     ExpectLongerLease(backend, *backend.last_lease_order + kOrderDelivery, *longest);
   }
-  if (backend.last_lease_unanswered && *backend.last_lease_unanswered > started) {
-    ExpectLongerLease(backend, *backend.last_lease_unanswered + kMaxOrderDelay, *longest);
+  const auto unanswered = backend.last_lease_unanswered;
+  if (unanswered && *unanswered + kMaxOrderDelay > started) {
+    // One that was given up before may have waited for it, and then has been carried out by now.
+    const MonotonicTime latest = *unanswered > started ? *unanswered + kMaxOrderDelay : now_;
+    ExpectLongerLease(backend, latest, *longest);
   }
 }
 
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -73,6 +73,33 @@
   CHECK(now_ms - known >= kLongestLease - kLease - 700);
 }
 
+// Guards against the same by a poll that was given up before the server was back, and waited for it
+// in the queue of its listening socket.
+TEST(DispatcherRestart, PlacesNothingWhileALeaseOfAPollThatWasGivenUpMayLast) {
+  now_ms = 100'000;
+  MakeDispatcher(1);
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(500);
+  LONGS_EQUAL(1, starts.size());
+  // Longer than the server is trusted, so that the last polls do not extend the lease.
+  constexpr int kDown = 4000;
+  silent = {BackendId("b1")};
+  Advance(kDown);
+  silent.clear();
+  const auto sent = AdvanceWithoutReplies(1500);
+  CHECK(!sent.empty() && !sent.back().lease_until.has_value());
+  constexpr int kAge = 100;
+  ReplyAsRestarted(sent.back(), kAge);
+  const int known = now_ms;
+  while (starts.size() == 1 && now_ms < known + 20'000) Advance(100);
+  LONGS_EQUAL(2, starts.size());
+  // The longest lease may have been granted when the server began.
+  const int since_start = now_ms - known + kAge;
+  CHECK(since_start + kLease >= kLongestLease);
+  CHECK(since_start + kLease <= kAfterLongestLease);
+}
+
 // Guards against a lease that is too long because the reply of an earlier incarnation, which came
 // after the list of the new one, set the clock that leases are computed with.
 TEST(DispatcherRestart, ComputesLeasesByTheClockOfTheLastList) {
