--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -292,6 +292,10 @@
   // ended.
   const bool cut = reply.ended.size() >= kMaxEndsPerPoll;
   if (!cut) impl_->roster_pending.erase(backend->report.id);
+  // The poll with their acknowledgement was lost, or is still on the way.
+  const bool listed_again =
+      !reply.ended.empty() && reply.ended.front().number <= backend->ends_ack_sent;
+  if (newest && listed_again) backend->ends_ack_sent = 0;
   const std::int64_t seen = backend->ends_seen;
   for (const ListedEnd& end : reply.ended) {
     if (end.number <= seen) continue;
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -53,6 +53,33 @@
   for (std::size_t n = 1; n < sent.size(); ++n) LONGS_EQUAL(0, sent[n].acknowledged_end);
 }
 
+// Guards against ends that are never acknowledged: the poll with the acknowledgement was lost, and
+// the next one, which could not carry it any more, was answered first.
+TEST(DispatcherRestart, AcknowledgesEndsAgainIfTheirPollWasLost) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(200);
+  // A run that nobody needs; polls are repeated while it is there.
+  const TaskKey orphan{JobId("other"), 0, 0, 0};
+  running[BackendId("b1")].push_back({orphan, RunNumber(1), "", 10, 0});
+  Advance(1000);
+  EndRun(starts[0], RunEnd::kDone);
+  while (polls.empty() || polls.back().acknowledged_end == 0) {
+    Advance(20);
+    dispatcher->Tick(Now(), true);
+  }
+  const PollOrder lost = polls.back();
+  PollOrder repeated;
+  for (const PollOrder& it : AdvanceWithoutReplies(2000)) repeated = it;
+  CHECK(repeated.sequence > lost.sequence);
+  LONGS_EQUAL(0, repeated.acknowledged_end);
+  running[BackendId("b1")].clear();
+  ReplyTo(repeated);
+  dispatcher->OnPoll(lost, PollReply{}, Now(), Now());
+  Advance(1000);
+  LONGS_EQUAL(0, ended[BackendId("b1")].size());
+}
+
 // Guards against two runs of a task: what is placed on a restarted server outlives the owner's
 // estimate of its lease if the server holds a longer one by the clock of the earlier incarnation.
 TEST(DispatcherRestart, PlacesNothingWhileALeaseOfTheEarlierClockMayLast) {
