Write starts and leases only to connections on which the server has replied

What callers saw: two runs of a task at once. Cause: on a real machine an order that was written to a new connection while nobody read it waits in the queue of the listening socket. Resetting the connection does not take it back: a process that accepts later still read the bytes of a connection that had been reset 0.3 s before (checked with a small program here). So the next incarnation carries out orders that were given up. Change: a new connection starts with a plain poll, which extends no lease and acknowledges nothing; a start, or a poll that does, is written after its reply, and ends as not sent without one. The task then starts elsewhere at once instead of after a lease. Established connections end with their process, so what is written to them reaches no other one.

--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -119,7 +119,10 @@
 
 // Sends orders to backend servers, over kMaxBackendConnections to each at most. An order is not
 // written after its permit has ended. One that has no reply by then is aborted, so that nothing of
-// it can arrive later from the sender's VM, and ends as unknown.
+// it can arrive later from the sender's VM, and ends as unknown. A start, and a poll that extends a
+// lease or acknowledges ends, is written only to a connection on which the backend server has
+// replied before: an aborted order that waits in the queue of a listening socket is still carried
+// out by the next incarnation.
 class BackendServers {
  public:
   virtual ~BackendServers() = default;
--- a/transport/include/sapphirewheel/transport/http_client.h
+++ b/transport/include/sapphirewheel/transport/http_client.h
@@ -31,6 +31,14 @@
   Millis max_duration{0};
 };
 
+// A request without effect that shows whether a process of the server reads a new connection.
+struct ConnectionProbe {
+  std::string method = "POST";
+  // Path and query, already encoded.
+  std::string target = "/";
+  std::string body;
+};
+
 struct HttpCall {
   Endpoint to;
   std::string method = "GET";
@@ -47,6 +55,11 @@
   // Upper bound of open connections to the host while this call opens one, below
   // Settings::connections_per_host; 0 if only that counts.
   std::size_t max_connections = 0;
+  // Sent first on a new connection, with the headers of the call; the request is written only after
+  // a complete response to it, and the call ends with kNotSent without one. What is written to a
+  // connection that nobody reads waits in the queue of the listening socket, and a later process of
+  // the server reads it even if the connection was reset in the meantime.
+  std::optional<ConnectionProbe> probe;
   // For an order whose sender's right to give it ends: the end, by Settings::now. It is asked again
   // while the call is in progress. The request is not written after the end, and a call without a
   // response by then is aborted. Called on the client's thread.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -160,6 +160,10 @@
                             OperationDeadline& deadline);
   Task<std::string> OpenTunnel(PooledConnection& connection, const Endpoint& endpoint,
                                OperationDeadline& deadline);
+  // Opens a connection, on which the probe of the call has got a response. Returns the reason of a
+  // failure, or nothing.
+  Task<std::string> OpenConnection(std::unique_ptr<PooledConnection>& connection,
+                                   const HttpCall& call, OperationDeadline& deadline);
   Task<HttpResult> Exchange(PooledConnection& connection, const HttpCall& call,
                             OperationDeadline& deadline, bool& reusable);
   Task<HttpResult> ReadResponse(PooledConnection& connection, const HttpCall& call,
@@ -298,8 +302,7 @@
   if (!connection) {
     pool.EvictIdle(call.to, call.max_connections);
     if (!pool.MakeRoom()) co_return NotSent("too many connections are open");
-    connection = std::make_unique<PooledConnection>(context);
-    std::string failure = co_await ConnectWithTimeout(*connection, call, deadline);
+    std::string failure = co_await OpenConnection(connection, call, deadline);
     if (!failure.empty()) co_return NotSent(std::move(failure));
     result = co_await Exchange(*connection, call, deadline, reusable);
   }
@@ -307,6 +310,28 @@
   co_return result;
 }
 
+Task<std::string> HttpClient::Impl::OpenConnection(std::unique_ptr<PooledConnection>& connection,
+                                                   const HttpCall& call,
+                                                   OperationDeadline& deadline) {
+  connection = std::make_unique<PooledConnection>(context);
+  std::string failure = co_await ConnectWithTimeout(*connection, call, deadline);
+  if (!failure.empty() || !call.probe) co_return failure;
+  HttpCall probe = call;
+  probe.method = call.probe->method;
+  probe.target = call.probe->target;
+  probe.body = call.probe->body;
+  bool reusable = false;
+  const HttpResult result = co_await Exchange(*connection, probe, deadline, reusable);
+  if (result.outcome != HttpOutcome::kComplete) {
+    co_return "the probe of the connection failed: " + result.reason;
+  }
+  if (reusable) co_return std::string();
+  // The server closes each connection after a response, but it has just sent one.
+  connection = std::make_unique<PooledConnection>(context);
+  failure = co_await ConnectWithTimeout(*connection, call, deadline);
+  co_return failure;
+}
+
 // The connect timeout ends with this function; it must not cancel the exchange that follows.
 Task<std::string> HttpClient::Impl::ConnectWithTimeout(PooledConnection& connection,
                                                        const HttpCall& call,
--- a/transport/tests/http_client_test.cc
+++ b/transport/tests/http_client_test.cc
@@ -13,6 +13,7 @@
 
 using sapphirewheel::Awaited;
 using sapphirewheel::ClosedEndpoint;
+using sapphirewheel::ConnectionProbe;
 using sapphirewheel::ConnectionReuse;
 using sapphirewheel::Endpoint;
 using sapphirewheel::FakeServer;
@@ -579,3 +580,60 @@
   second.reuse = ConnectionReuse::kNone;
   CHECK_TRUE(Run(client, second).outcome == HttpOutcome::kNotSent);
 }
+
+// Guards against a request that a later process of the server carries out although it was given up:
+// nobody reads the new connection until the call has ended.
+TEST(HttpClient, WritesNothingButTheProbeToAConnectionThatNobodyReads) {
+  Awaited<bool> given_up;
+  Awaited<std::string> read;
+  FakeServer server([&](TestSocket& socket, int) {
+    given_up.Get();
+    read.Set(socket.ReadAll());
+  });
+  HttpClient client(Defaults());
+  HttpCall call = Post(server.endpoint(), "order");
+  call.deadline = Millis(200);
+  call.probe = ConnectionProbe{"POST", "/probe", "probe"};
+  const HttpResult result = Run(client, std::move(call));
+  given_up.Set(true);
+  const std::string text = read.Get().value_or("");
+  client.Stop();
+  CHECK_TRUE(result.outcome == HttpOutcome::kNotSent);
+  CHECK_TRUE(text.find("POST /probe ") == 0);
+  CHECK_TRUE(text.find("order") == std::string::npos);
+}
+
+TEST(HttpClient, ProbesOnlyNewConnections) {
+  Awaited<std::string> requests;
+  FakeServer server([&](TestSocket& socket, int) {
+    for (std::string text = socket.ReadMessage(); !text.empty(); text = socket.ReadMessage()) {
+      requests.Set(text.substr(0, text.find(" HTTP")));
+      socket.Send(HttpResponseText(200, ""));
+    }
+  });
+  HttpClient client(Defaults());
+  for (int n = 0; n < 2; ++n) {
+    HttpCall call = Post(server.endpoint());
+    call.target = "/order";
+    call.probe = ConnectionProbe{"POST", "/probe", ""};
+    CHECK_TRUE(Run(client, std::move(call)).outcome == HttpOutcome::kComplete);
+  }
+  LONGS_EQUAL(3, requests.count());
+  STRCMP_EQUAL("POST /probe", requests.Get(1)->c_str());
+  STRCMP_EQUAL("POST /order", requests.Get(2)->c_str());
+  STRCMP_EQUAL("POST /order", requests.Get(3)->c_str());
+  LONGS_EQUAL(1, server.connections());
+}
+
+// Guards against calls that never reach a server which ends each connection after a response.
+TEST(HttpClient, AServerThatClosesAfterTheProbeGetsTheRequestOnAnotherConnection) {
+  FakeServer server([](TestSocket& socket, int) {
+    socket.ReadMessage();
+    socket.Send(HttpResponseText(200, "", "Connection: close\r\n"));
+  });
+  HttpClient client(Defaults());
+  HttpCall call = Post(server.endpoint());
+  call.probe = ConnectionProbe{"POST", "/probe", ""};
+  CHECK_TRUE(Run(client, std::move(call)).outcome == HttpOutcome::kComplete);
+  LONGS_EQUAL(2, server.connections());
+}
