--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -258,7 +258,7 @@
     const auto& [id, entry] = row;
     if (now_ <= *entry.runs_end_by || AwaitsFirstList(id)) return false;
     Report(DecisionKind::kBackendGone, JobId(), "", id, RunNumber(),
-           "not heard of since the takeover; what earlier owners started there ended " +
+           "no reply since the takeover; what earlier owners started there ended " +
                std::to_string((now_ - *entry.runs_end_by).count()) + " ms ago at the latest");
     return true;
   });
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -186,8 +186,7 @@
        "A backend server does not respond and gets no new work.",
        "If it stays unreachable, check the backend server and the network to it."},
       {Event::kBackendGone, kInfo, "backend-gone",
-       "A backend server has left, was restarted, or was not heard of by a new owner until its "
-       "runs "
+       "A backend server has left, was restarted, or did not reply to a new owner until its runs "
        "had ended.",
        kNone},
       {Event::kBackendDraining, kInfo, "backend-draining",
