Test starts that wait in the listening sockets of servers that restart

The fake servers dropped what callers wrote while a server was restarting. A real listening socket keeps it, and the next process of the server reads it, also when the writer has given the order up and closed the connection. The fakes now do the same: a restart ends all connections and reads new ones only when the server is back.

--- a/tests/standins/http.h
+++ b/tests/standins/http.h
@@ -63,6 +63,10 @@
   std::string Listen(const std::string& address);
   // Closes the listener and all connections. `Listen` may be called again.
   void Close();
+  // As when the process ends and its listening socket stays: closes all connections; what callers
+  // then write to new ones waits in the kernel until Resume. Both are called on the thread of `io`.
+  void Suspend();
+  void Resume();
 
  private:
   struct State;
--- a/tests/standins/http_server.cc
+++ b/tests/standins/http_server.cc
@@ -127,20 +127,38 @@
 
 struct HttpServer::State {
   State(asio::io_context& context, HttpHandler h, std::size_t max)
-      : io(context), handler(std::move(h)), max_connections(max) {}
+      : io(context),
+        handler(std::move(h)),
+        max_connections(max),
+        resumed(context, Clock::time_point::max()) {}
   asio::io_context& io;
   HttpHandler handler;
   std::size_t max_connections;
   std::shared_ptr<tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Connection>> connections;
+  bool suspended = false;
+  // Never expires; it is cancelled by Resume and Close.
+  asio::steady_timer resumed;
+
+  void CloseConnections() const {
+    for (const auto& connection : connections) {
+      boost::system::error_code ec;
+      connection->socket.close(ec);
+      if (connection->pending) connection->pending->Set({.delivery = Delivery::kDrop});
+    }
+  }
 
   static asio::awaitable<void> Accept(std::shared_ptr<State> state,
                                       std::shared_ptr<tcp::acceptor> acceptor) {
     while (acceptor->is_open()) {
       boost::system::error_code ec;
+      if (state->suspended) {
+        co_await state->resumed.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        continue;
+      }
       tcp::socket socket =
           co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, ec));
-      if (ec || !acceptor->is_open()) continue;
+      if (ec || !acceptor->is_open() || state->suspended) continue;
       if (state->max_connections != 0 && state->connections.size() >= state->max_connections) {
         continue;
       }
@@ -174,10 +192,19 @@
 void HttpServer::Close() {
   boost::system::error_code ec;
   if (state_->acceptor) state_->acceptor->close(ec);
-  for (const auto& connection : state_->connections) {
-    connection->socket.close(ec);
-    if (connection->pending) connection->pending->Set({.delivery = Delivery::kDrop});
-  }
+  state_->resumed.cancel();
+  state_->CloseConnections();
+}
+
+void HttpServer::Suspend() {
+  state_->suspended = true;
+  if (state_->acceptor) state_->acceptor->cancel();
+  state_->CloseConnections();
+}
+
+void HttpServer::Resume() {
+  state_->suspended = false;
+  state_->resumed.cancel();
 }
 
 }  // namespace sapphirewheel::testing
