Notice another incarnation where the longest lease is the usual one

A start whose reply shows a much earlier clock was carried out by another incarnation of the server. That was concluded from the lease that the order granted, after it had been cut to the longest one. Starts and polls by the earlier clock that the server carries out late then extend the lease of the confirmed runs, for up to 13 s, and the owner started the tasks elsewhere after 6.6 s.

The new test was red before: second start 7.6 s after the late start was given up, now 19.7 s, which is its longest delay and the longest lease.

--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -22,8 +22,9 @@
 void Dispatcher::Impl::RecordLease(BackendEntry& backend, BackendClock until,
                                    const std::optional<BackendClock>& clock) {
   if (!clock) return;
-  const Millis left(std::min(until.count() - clock->count(), settings.max_lease.count()));
-  backend.lease_end = std::max(backend.lease_end, now_ + LeaseTime(left));
+  const Millis left(until.count() - clock->count());
+  backend.lease_end =
+      std::max(backend.lease_end, now_ + LeaseTime(std::min(left, settings.max_lease)));
   if (left <= settings.lease + kLeaseSlack) return;
   // Its clock has restarted, so another incarnation has carried the order out. Orders that are
   // under way may prolong its lease as much, and further ones need its clock.
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -54,6 +54,7 @@
   std::int64_t next_end = 1;
   std::size_t written = 0;
   bool defer_under_overload = true;
+  Millis max_lease{10'000};
   std::unique_ptr<Dispatcher> dispatcher;
 
   MonotonicTime Now() const { return MonotonicTime(Millis(now_ms)); }
@@ -77,6 +78,7 @@
     settings.token = Epoch(token);
     settings.first_contact = first_contact;
     settings.defer_under_overload = defer_under_overload;
+    settings.max_lease = max_lease;
     dispatcher = std::make_unique<Dispatcher>(settings, hooks, Now());
     auto config = std::make_shared<DispatchConfig>();
     config->pools = {{PoolId("p"), false, false}};
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -348,6 +348,32 @@
   CHECK(starts.back().run.count() > starts[0].run.count());
 }
 
+// Guards against two runs of a task: the next incarnation has confirmed its start, and a start that
+// it carries out late grants a lease by the clock of the earlier one. That was noticed only where
+// the longest lease is much longer than the usual one.
+TEST(DispatcherRestart, ALateStartExtendsTheLeaseOfARunThatTheNextIncarnationConfirmed) {
+  now_ms = 100'000;
+  max_lease = Millis(kLease);
+  MakeDispatcher(1);
+  AddBackend("b1");
+  Advance(500);
+  silent = {BackendId("b1")};
+  AddJob("j1", {Step(2, 1000)});
+  Advance(100);
+  LONGS_EQUAL(2, starts.size());
+  constexpr int kAge = 300;
+  dispatcher->OnStart(starts[0], {OrderOutcome::kDone, BackendClock(kAge)}, Now());
+  Advance(kOrderDelivery);
+  dispatcher->OnStart(starts[1], {OrderOutcome::kUnknown, std::nullopt}, Now());
+  const int given_up = now_ms;
+  AddBackend("b2");
+  constexpr int kMost = 30'000;
+  while (starts.size() == 2 && now_ms < given_up + kMost) Advance(100);
+  CHECK(starts.size() > 2);
+  constexpr int kLongestDelay = 13'000;
+  CHECK(now_ms - given_up >= kLongestDelay + kLease);
+}
+
 // Guards against two runs of a task after a change of owner: a server holds a longer lease than the
 // usual one, because an order by the clock of its earlier incarnation was carried out.
 TEST(DispatcherRestart, ASuccessorWaitsForALeaseOfAnEarlierClock) {
