Let the stalled body arrive before another one needs its memory

It sent the next body at once; where the server read that one first, the stalled body was not the one that held the memory, and its connection got no 408. This order of arrival is concluded from the code and the time of 1 ms, not logged. The test now waits until the request is active, and makes 100 small requests one after the other, while the server reads the body.

--- a/transport/tests/http_server_limits_test.cc
+++ b/transport/tests/http_server_limits_test.cc
@@ -151,6 +151,11 @@
   settings.max_request_memory = kMemory;
   Serve();
   const auto stalled = Send(kChunkedHead + Chunks(kBody, 1));
+  CHECK_TRUE(WaitFor([this] { return server->ActiveRequests() == 1; }));
+  // The body is read while these are served. Otherwise the other one could hold the memory first.
+  for (int n = 0; n < 100; ++n) {
+    CHECK_TRUE(Contains(Send(kSmallRequest)->ReadMessage(), "bytes 0"));
+  }
   CHECK_TRUE(WaitFor([this] {
     auto other = Send(AnnouncedHead(kBody) + std::string(kBody, 'x'));
     return Contains(other->ReadMessage(), "bytes 100000");
