--- a/review/platform3.hpp
+++ b/review/platform3.hpp
@@ -98,15 +98,18 @@
   std::string address() const {
     return ip_ + ":" + std::to_string(acceptor_.local_endpoint().port());
   }
+  // The connections that are open now go silent for good: what arrives on them has no effect, and
+  // nothing is sent on them any more. New ones work.
+  void Silence() { silent_below_ = next_connection_; }
 
  private:
   Task<void> Accept() {
     for (;;) {
       Tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-      asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
+      asio::co_spawn(io_, Serve(std::move(socket), next_connection_++), asio::detached);
     }
   }
-  Task<void> Serve(Tcp::socket socket) {
+  Task<void> Serve(Tcp::socket socket, std::uint64_t number) {
     try {
       socket.set_option(Tcp::no_delay(true));
       beast::flat_buffer buffer;
@@ -116,7 +119,12 @@
         co_await http::async_read(socket, buffer, parser, asio::use_awaitable);
         Request request = parser.release();
         const bool keep = request.keep_alive();
-        std::optional<Response> response = co_await handler_(std::move(request));
+        std::optional<Response> response;
+        if (number >= silent_below_) response = co_await handler_(std::move(request));
+        if (number < silent_below_) {
+          co_await Sleep(Ms(120'000));
+          co_return;
+        }
         if (!response) co_return;
         response->keep_alive(keep);
         response->prepare_payload();
@@ -131,6 +139,8 @@
   Tcp::acceptor acceptor_;
   Handler handler_;
   std::string ip_;
+  std::uint64_t next_connection_ = 0;
+  std::uint64_t silent_below_ = 0;
 };
 
 inline std::string Decode(std::string_view text) {
@@ -186,16 +196,36 @@
   };
   using Key = std::pair<std::string, std::string>;  // part, key
 
-  Store(asio::io_context& io, const std::string& ip, Record& record)
-      : record_(record),
-        server_(io, ip, [this](Request request) { return Handle(std::move(request)); }) {}
-  std::string address() const { return server_.address(); }
+  // An address for each daemon.
+  Store(asio::io_context& io, const std::string& ip, Record& record, int daemons)
+      : record_(record) {
+    for (int n = 0; n < daemons; ++n) {
+      servers_.push_back(std::make_unique<Server>(
+          io, ip, [this, n](Request request) { return HandleFor(n, std::move(request)); }));
+    }
+  }
+  std::string address(int daemon) const { return servers_.at(daemon)->address(); }
+  void Silence(int daemon) { servers_.at(daemon)->Silence(); }
+  // The value of a row; empty when it is missing.
+  std::string Value(const std::string& table, const std::string& part, const std::string& key) {
+    const auto it = rows_[table].find({part, key});
+    if (it == rows_[table].end() || it->second.removed) return {};
+    const std::string& text = it->second.value;
+    std::string bytes(beast::detail::base64::decoded_size(text.size()), '\0');
+    bytes.resize(beast::detail::base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+  }
 
   void Put(const std::string& table, const std::string& key, const std::string& value) {
     ++ver_;
     Write(table, {"", key}, ToBase64(value), false);
     Wake();
   }
+  // What becomes of a call; empty for none of this. kLost: carried out and not answered; kLate: a
+  // transaction is not answered, and carried out so much later; kDropped: neither; kRefused: 503.
+  enum class Fate { kNormal, kLost, kLate, kDropped, kRefused };
+  std::function<Fate(int daemon, const std::string& path)> fate;
+  std::function<Ms()> late_by;
   // Size of the largest row that was refused, and how many transactions were refused for it.
   std::size_t refused_bytes = 0;
   int refused = 0;
@@ -233,6 +263,23 @@
     if (row.removed) shown["tombstone"] = true;
     return shown;
   }
+  Task<std::optional<Response>> HandleFor(int daemon, Request request) {
+    const std::string target(request.target());
+    const Fate is = fate ? fate(daemon, target.substr(0, target.find('?'))) : Fate::kNormal;
+    if (is == Fate::kDropped) co_return std::nullopt;
+    if (is == Fate::kRefused) co_return Reply(503, {});
+    if (is == Fate::kLate) {
+      co_await Sleep(late_by());
+      (void)Transact(request.body());
+      co_return std::nullopt;
+    }
+    std::optional<Response> response = co_await Handle(std::move(request));
+    if (is == Fate::kLost) {
+      co_await Sleep(Ms(3000));
+      co_return std::nullopt;
+    }
+    co_return response;
+  }
   Task<std::optional<Response>> Handle(Request request) {
     const std::string target(request.target());
     const std::string path = target.substr(0, target.find('?'));
@@ -359,7 +406,7 @@
   std::map<std::string, std::map<Key, Row>> rows_;
   std::map<std::string, std::set<std::pair<std::uint64_t, Key>>> changes_;
   std::set<asio::steady_timer*> waiting_;
-  Server server_;
+  std::vector<std::unique_ptr<Server>> servers_;
 };
 
 // What a run does.
@@ -774,7 +821,7 @@
     const int pid = getpid();
     ip = "127." + std::to_string(60 + pid / 62500 % 40) + "." + std::to_string(1 + pid / 250 % 250) +
          "." + std::to_string(1 + pid % 250);
-    store = std::make_unique<Store>(io, ip, record);
+    store = std::make_unique<Store>(io, ip, record, daemons);
     cloud = std::make_unique<Cloud>(io, ip, all);
     for (int n = 1; n <= executors; ++n) {
       Executor::Settings one = like;
@@ -784,7 +831,8 @@
       all.push_back(std::make_unique<Executor>(io, ip, one, hooks, *store));
     }
     // Figures of a small deployment, as in DEPLOY.md.
-    const std::string settings =
+    const auto settings = [&](int n) {
+      return std::string(
         "port_range = [7000,7015]\nbootstrap = true\nin_tolerance = false\n"
         "discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1500\norders = \"call\"\n"
         "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"tenants\","
@@ -799,13 +847,15 @@
         "checkpoint_s = 0.5\nrestore_ms = 100\nnotice_ms = 4500\nmove_s = 1.5\n"
         "maintenance_s = 2\nenforce_fencing = true\nlease_ms = 3000\nthaw_slack_ms = 300\n"
         "pace_ms = 100\nharm_ms = 4000\n"
-        "[platform]\naddr = \"" + store->address() +
+        "[platform]\naddr = \"") + store->address(n) +
         "\"\nform = \"table\"\nwrites_per_s = 600\nreads_per_s = 2000\ntx_ms = 8.0\n"
         "partition_writes_s = 150\nrow_bytes = 65536\nacross = false\nhistory_s = 20\n"
         "[cloud]\naddr = \"" + cloud->address() +
         "\"\nrate_per_s = 64.0\nduties = []\nduty_per_s = 64.0\n";
+    };
     for (int n = 1; n <= daemons; ++n) {
-      daemon.push_back(std::make_unique<Daemon>(folder, "front-" + std::to_string(n), ip, settings));
+      daemon.push_back(std::make_unique<Daemon>(folder, "front-" + std::to_string(n), ip,
+                                                settings(n - 1)));
     }
   }
   ~Deployment() {
@@ -846,6 +896,14 @@
     request.body() = body;
     return request;
   }
+  // The daemon that owns the fleet by the owner row, or -1.
+  int Owner() {
+    const std::string row = store->Value("fleet", "fleet", "owner");
+    for (std::size_t n = 0; n < daemon.size(); ++n) {
+      if (row.find("\"" + daemon[n]->name() + "#") != std::string::npos) return static_cast<int>(n);
+    }
+    return -1;
+  }
   // Sends a call until it has a final answer, to one daemon after the other.
   Task<CallResult> Ask(http::verb method, std::string id, std::string body, int tries) {
     CallResult result;
