--- a/review/platform3.hpp
+++ b/review/platform3.hpp
@@ -558,9 +558,9 @@
         if (late->count() > 0) {
           asio::co_spawn(
               io_,
-              [this, path, call, time = *late]() -> Task<void> {
+              [this, path, call, time = *late, life]() -> Task<void> {
                 co_await Sleep(time);
-                if (up_) (void)Obey(path, call);
+                if (up_ && life == life_) (void)Obey(path, call);
               },
               asio::detached);
         }
