--- a/review/platform3.hpp
+++ b/review/platform3.hpp
@@ -812,8 +812,10 @@
  public:
   static constexpr int kMemoryMb = 260;
 
-  Deployment(std::string case_folder, int daemons, int executors, Executor::Settings like = {})
-      : record((std::filesystem::path(case_folder) / "record.txt").string()) {
+  // The last `of_second` executors belong to a second service with a queue of its own.
+  Deployment(std::string case_folder, int daemons, int executors, Executor::Settings like = {},
+             int of_second = 0)
+      : second(of_second > 0), record((std::filesystem::path(case_folder) / "record.txt").string()) {
     signal(SIGPIPE, SIG_IGN);
     std::string pattern = (std::filesystem::temp_directory_path() / "review3-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
@@ -828,6 +830,7 @@
       one.id = "i-" + std::to_string(n);
       one.machine = "m-" + std::to_string(n);
       one.rack = "r" + std::to_string(1 + n % 2);
+      if (n > executors - of_second) one.service = "second";
       all.push_back(std::make_unique<Executor>(io, ip, one, hooks, *store));
     }
     // Figures of a small deployment, as in DEPLOY.md.
@@ -877,18 +880,26 @@
                                     {"public", false}, {"priority", 0}, {"attempts", attempts},
                                     {"stretch", 2.0}, {"target_latency_ms", 600}});
     }
+    json::array services{json::object{{"name", "work"}, {"enforces_capacity", false}}};
+    if (second) {
+      json::object route = routes.at(0).as_object();
+      route["name"] = route["service"] = "second";
+      route["prefix"] = "/second/";
+      routes.push_back(std::move(route));
+      services.push_back(json::object{{"name", "second"}, {"enforces_capacity", false}});
+    }
     const json::object config{
         {"version", version},
         {"routes", std::move(routes)},
-        {"services",
-         json::array{json::object{{"name", "work"}, {"enforces_capacity", false}}}},
+        {"services", std::move(services)},
         {"tenants", json::array{json::object{{"name", "tenant"}, {"weight", 50},
                                              {"api_keys", json::array{"key-1"}}}}},
         {"limits", json::object{{"max_body_bytes", 262144}}}};
     store->Put("op", "config", json::serialize(config));
   }
-  Request Make(http::verb method, const std::string& id, const std::string& body = "") const {
-    Request request{method, "/queue/" + id, 11};
+  Request Make(http::verb method, const std::string& id, const std::string& body = "",
+               const std::string& prefix = "/queue/") const {
+    Request request{method, prefix + id, 11};
     request.set(http::field::host, "jobs.example");
     request.set(http::field::authorization, "Token key-1");
     request.set("X-Deadline-Ms", "3000");
@@ -962,6 +973,7 @@
     return result;
   }
 
+  const bool second;
   asio::io_context io;
   Record record;
   std::filesystem::path folder;
