--- a/review/12/run.sh
+++ b/review/13/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/review-3/case-12 ] && [ -x target/apps/daemon/sapphirewheeld ] || exit 2
-exec target/review-3/case-12 "$here"
+[ -x target/review-3/case-13 ] && [ -x target/apps/daemon/sapphirewheeld ] || exit 2
+exec target/review-3/case-13 "$here"
