Store the finished occurrences of a schedule as ranges

Cause: the progress row of a job named each finished occurrence by its number, so it grew with all that had passed and got larger than a row of the table service.

Fix: finished occurrences are kept as ranges (boost::icl), in memory too. They are written as ranges above 2,000, so rows of shorter schedules stay as older versions read and write them. A row grows only with the gaps, each of which is an occurrence that is still open.

--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/icl/interval_set.hpp>
 #include <boost/json/fwd.hpp>
 #include <map>
 #include <optional>
@@ -32,10 +33,13 @@
 
   // Replaces the marks of an occurrence's tasks by one mark for the whole occurrence.
   void FinishOccurrence(int occurrence);
-  [[nodiscard]] bool IsFinished(int occurrence) const { return finished_.count(occurrence) > 0; }
+  [[nodiscard]] bool IsFinished(int occurrence) const {
+    return boost::icl::contains(finished_, occurrence);
+  }
   [[nodiscard]] std::size_t FinishedCount() const { return finished_.size(); }
 
-  // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence.
+  // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence, and up to
+  // 20 bytes for each gap between finished occurrences.
   [[nodiscard]] std::string Encode() const;
   // Errors: kInvalidArgument for any text that Encode does not produce.
   [[nodiscard]] static Result<JobProgress> Decode(std::string_view text);
@@ -49,7 +53,7 @@
   // Failed runs by occurrence, step and index. Each run number is kept, because a new owner
   // receives the ends of several backend servers in any order.
   std::map<std::tuple<int, int, int>, std::set<RunNumber>> failures_;
-  std::set<int> finished_;
+  boost::icl::interval_set<int> finished_;
 };
 
 // "queued", "completed", "failed" or "cancelled". Callers of this function tell queued from running
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,9 @@
 // Above this number of done or failed tasks a row has them as bitmaps, so that it stays below the
 // size of a row of the table service for the largest job.
 constexpr std::size_t kMaxListedTasks = 1000;
+// Above this number of finished occurrences a row has them as ranges. Older versions read only the
+// list.
+constexpr std::size_t kMaxListedOccurrences = 2000;
 constexpr int kBitsPerDigit = 4;
 // Largest index in a bitmap, against malformed rows.
 constexpr std::size_t kMaxDigits = 25'000;
@@ -89,6 +93,18 @@
   return numbers.size() >= min_size ? numbers : std::vector<std::int64_t>{};
 }
 
+// Adds the occurrences of a range, [first, last]. Returns whether it is one that Encode produces.
+bool AddRange(const json::value& value, boost::icl::interval_set<int>& occurrences) {
+  const auto numbers = Numbers(value, 2);
+  if (numbers.size() != 2) return false;
+  const std::int64_t first = numbers[0];
+  const std::int64_t last = numbers[1];
+  if (first < 0 || last < first || last >= std::numeric_limits<int>::max()) return false;
+  occurrences.add(
+      boost::icl::interval<int>::closed(static_cast<int>(first), static_cast<int>(last)));
+  return true;
+}
+
 }  // namespace
 
 const char* OutcomeName(JobOutcome outcome) noexcept {
@@ -134,7 +150,7 @@
 }
 
 void JobProgress::FinishOccurrence(int occurrence) {
-  finished_.insert(occurrence);
+  finished_.add(occurrence);
   std::erase_if(done_, [&](const auto& row) { return row.first.first == occurrence; });
   std::erase_if(failures_, [&](const auto& row) { return std::get<0>(row.first) == occurrence; });
 }
@@ -182,7 +198,16 @@
     failures.emplace_back(std::move(entry));
   }
   if (!failures.empty()) row["failures"] = std::move(failures);
-  if (!finished_.empty()) row["finished"] = json::array(finished_.begin(), finished_.end());
+  if (finished_.size() > kMaxListedOccurrences) {
+    json::array ranges;
+    for (const auto& range : finished_) {
+      ranges.emplace_back(json::array{boost::icl::first(range), boost::icl::last(range)});
+    }
+    row["finished_ranges"] = std::move(ranges);
+  } else if (!finished_.empty()) {
+    row["finished"] =
+        json::array(boost::icl::elements_begin(finished_), boost::icl::elements_end(finished_));
+  }
   return json::serialize(row);
 }
 
@@ -231,7 +256,13 @@
   }
   if (const auto* finished = row.if_contains("finished"); finished != nullptr) {
     for (const std::int64_t n : Numbers(*finished, 0)) {
-      progress.finished_.insert(static_cast<int>(n));
+      progress.finished_.add(static_cast<int>(n));
+    }
+  }
+  if (const auto* ranges = row.if_contains("finished_ranges"); ranges != nullptr) {
+    if (!ranges->is_array()) return Malformed("list of finished occurrences");
+    for (const json::value& it : ranges->get_array()) {
+      if (!AddRange(it, progress.finished_)) return Malformed("list of finished occurrences");
     }
   }
   return progress;
--- a/coordination/tests/job_progress_test.cc
+++ b/coordination/tests/job_progress_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirewheel/coordination/job_progress.h"
 
 #include <algorithm>
+#include <string>
 
 #include "CppUTest/TestHarness.h"
 
@@ -66,6 +67,58 @@
   STRCMP_EQUAL(progress.Encode().c_str(), again.value().Encode().c_str());
 }
 
+// Guards against a schedule that stops all jobs of the fleet: its row named each occurrence that
+// had ended, and after some 12,750 of them was larger than the table service takes.
+TEST(JobProgress, TheRowOfALongScheduleStaysSmall) {
+  constexpr int kMaxRepetitions = 1'000'000;
+  constexpr std::size_t kRowBytes = 65'536;
+  // Every hundredth occurrence of the first 100,000 lasts long.
+  constexpr int kSlowUpTo = 100'000;
+  constexpr int kSlowEvery = 100;
+  const auto is_slow = [](int n) { return n < kSlowUpTo && n % kSlowEvery == 0; };
+  JobProgress progress;
+  for (int n = 0; n < kMaxRepetitions; ++n) {
+    if (!is_slow(n)) progress.FinishOccurrence(n);
+    if (n % 10'000 == 0) CHECK(progress.Encode().size() < kRowBytes);
+  }
+  CHECK(progress.Encode().size() < kRowBytes);
+  const auto again = JobProgress::Decode(progress.Encode());
+  CHECK(again.has_value());
+  LONGS_EQUAL(kMaxRepetitions - kSlowUpTo / kSlowEvery, again.value().FinishedCount());
+  for (const int n : {0, 1, 99, 100, 101, 99'900, 99'999, 100'000, kMaxRepetitions - 1}) {
+    CHECK(again.value().IsFinished(n) == !is_slow(n));
+  }
+  CHECK_FALSE(again.value().IsFinished(kMaxRepetitions));
+  STRCMP_EQUAL(progress.Encode().c_str(), again.value().Encode().c_str());
+}
+
+// Guards against occurrences that run again during a change of version: older versions read a list
+// of numbers only.
+TEST(JobProgress, RowsOfFewFinishedOccurrencesAreThoseOfOlderVersions) {
+  JobProgress progress;
+  for (const int n : {0, 1, 2, 7}) progress.FinishOccurrence(n);
+  STRCMP_EQUAL(R"({"outcome":0,"finished":[0,1,2,7]})", progress.Encode().c_str());
+}
+
+TEST(JobProgress, ReadsLongListsOfOlderVersions) {
+  constexpr int kFinished = 12'000;
+  std::string row = R"({"outcome":0,"finished":[)";
+  for (int n = 0; n < kFinished; ++n) row += std::to_string(n) + (n + 1 < kFinished ? "," : "]}");
+  const auto progress = JobProgress::Decode(row);
+  CHECK(progress.has_value());
+  LONGS_EQUAL(kFinished, progress.value().FinishedCount());
+  CHECK(progress.value().IsFinished(kFinished - 1));
+  STRCMP_EQUAL(R"({"outcome":0,"finished_ranges":[[0,11999]]})", progress.value().Encode().c_str());
+}
+
+TEST(JobProgress, RejectsMalformedRanges) {
+  for (const char* it : {"7", "[7]", "[[7]]", "[[7,6]]", "[[-1,6]]", "[[0,1,2]]",
+                         "[[0,2147483647]]", R"([["0",1]])"}) {
+    const std::string row = R"({"outcome":0,"finished_ranges":)" + std::string(it) + "}";
+    CHECK_FALSE(JobProgress::Decode(row).has_value());
+  }
+}
+
 TEST(JobProgress, RejectsMalformedBitmaps) {
   for (const char* it :
        {R"({"outcome":0,"done":[[0,0,"x"]]})", R"({"outcome":0,"done":[[0,"1"]]})",
