Keep a row that cannot be stored from holding back the others

Cause: the owner sends progress, renewal, start horizon and roster in one transaction, and a refusal for good was repeated like one that passes by. The logs did not show the refusals at all.

Fix, for rows of all kinds: the limit is read from the settings (row_bytes). A row above it is not sent; event 823 names it, its size and the limit. The job of such a progress row fails, which its callers see, and its row is then a few bytes, as the rows of all ended jobs are now. If the table service rejects a write all the same (400 or 403, now an outcome of its own), event 824 says what it held, and for a second only the ownership and the start horizon are written, so neither the ownership nor new jobs end with it. A submission that is rejected is answered at once instead of until its deadline.

Not mended here: rows of routes, waiting counts and waves that are too large keep their last content, and progress that the service rejects for a reason that the node does not know is never written.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -149,6 +149,10 @@
       return Event::kCallCancelled;
     case NodeEvent::kJobUnreadable:
       return Event::kJobUnreadable;
+    case NodeEvent::kRowTooLarge:
+      return Event::kRowTooLarge;
+    case NodeEvent::kWriteRejected:
+      return Event::kWriteRejected;
     case NodeEvent::kCallRefused:
       return Event::kCallRefused;
     case NodeEvent::kCallUnanswered:
--- a/apps/daemon/src/deployed_metrics.cc
+++ b/apps/daemon/src/deployed_metrics.cc
@@ -37,6 +37,8 @@
       return "conflict";
     case StoreOutcome::kNotDone:
       return "not-done";
+    case StoreOutcome::kRejected:
+      return "rejected";
     case StoreOutcome::kUnknown:
       return "unknown";
     case StoreOutcome::kHistoryGone:
--- a/apps/daemon/src/entry_node_settings.cc
+++ b/apps/daemon/src/entry_node_settings.cc
@@ -78,6 +78,8 @@
   settings.owner.dispatcher.max_lease = deployment.max_lease;
   settings.owner.dispatcher.first_contact =
       FirstContactSettings(deployment, settings.lease.capability);
+  settings.owner.max_row_bytes = deployment.max_row_bytes;
+  settings.owner.dispatcher.max_row_bytes = deployment.max_row_bytes;
   settings.owner.autoscaler.provisioning_time = deployment.move_time + kMoveSlack;
   // The time is counted from the decision, and callers see an end only when it is stored.
   constexpr Millis kRetentionReserve{30'000};
--- a/coordination/include/sapphirewheel/coordination/dispatch_model.h
+++ b/coordination/include/sapphirewheel/coordination/dispatch_model.h
@@ -111,6 +111,9 @@
   }
 };
 
+// Maximum size in bytes of a row of the table service, if the deployment gives none.
+inline constexpr std::size_t kMaxRowBytes = 65'536;
+
 struct WorkSpec {
   // Opaque text that is passed to the tasks.
   std::string payload;
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -151,6 +151,8 @@
 struct ProgressWrite {
   JobId job;
   std::string value;
+  // The size of the row that was too large; the job has ended instead. 0 if the row fits.
+  std::size_t oversize = 0;
 };
 
 // A backend server that an owner may have given work.
@@ -199,6 +201,8 @@
     bool defer_under_overload = true;
     // Whether tasks that last unusually long are run a second time if their step allows it.
     bool copies = true;
+    // Maximum size of a progress row.
+    std::size_t max_row_bytes = kMaxRowBytes;
   };
   struct Hooks {
     std::function<void(const StartOrder&)> start;
@@ -287,8 +291,9 @@
   void Tick(MonotonicTime now, bool may_order);
 
   // Takes progress rows to be written, oldest change first: at most `max_writes`, and no more than
-  // fit into `max_bytes`, but at least one if there is any. Call WritesDone with the outcome before
-  // the next batch is taken.
+  // fit into `max_bytes`, but at least one if there is any. A job whose row is above the limit of a
+  // row fails, as its progress can't be kept. Call WritesDone with the outcome before the next
+  // batch is taken.
   [[nodiscard]] std::vector<ProgressWrite> TakeWrites(std::size_t max_writes,
                                                       std::size_t max_bytes);
   void WritesDone(bool written);
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -80,6 +80,8 @@
   kJobAccepted,
   kJobCancelled,
   kJobUnreadable,
+  kRowTooLarge,
+  kWriteRejected,
   kCallRefused,
   kCallUnanswered,
   kCallGone,
@@ -111,6 +113,8 @@
     Millis job_retention{120'000};
     // Time that the platform takes to maintain one VM.
     Millis maintenance_time{2000};
+    // Maximum size of a row of the table service.
+    std::size_t max_row_bytes = kMaxRowBytes;
   };
 
   // `store_delay` is the present delay of the table service's replies.
--- a/coordination/include/sapphirewheel/coordination/fleet_ports.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_ports.h
@@ -54,6 +54,8 @@
   kConflict,
   // Nothing was done: the service was overloaded, unavailable or unreachable.
   kNotDone,
+  // Nothing was done, and the service will refuse the same request again.
+  kRejected,
   // The request may have been carried out, or may still be as long as its conditions hold.
   kUnknown,
   // The changes since the requested revision are no longer available.
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -283,13 +283,22 @@
       impl_->dirty.erase(impl_->dirty.begin());
       continue;
     }
-    std::string value = it->second->progress.Encode();
-    if (!writes.empty() && bytes + value.size() > max_bytes) break;
-    bytes += value.size();
+    JobEntry& job = *it->second;
+    ProgressWrite write{id, job.progress.Encode()};
+    if (write.value.size() > impl_->settings.max_row_bytes) {
+      write.oversize = write.value.size();
+      impl_->EndJob(job, JobOutcome::kFailed,
+                    "its progress takes " + std::to_string(write.oversize) + " bytes, " +
+                        std::to_string(impl_->settings.max_row_bytes) + " can be stored");
+      write.value = job.progress.Encode();
+    }
+    const bool fits = bytes + write.value.size() <= max_bytes;
+    if (!writes.empty() && !fits && write.oversize == 0) break;
+    bytes += write.value.size();
     impl_->dirty.erase(impl_->dirty.begin());
-    it->second->dirty_since = 0;
+    job.dirty_since = 0;
     impl_->writing[at] = id;
-    writes.push_back(ProgressWrite{id, std::move(value)});
+    writes.push_back(std::move(write));
   }
   return writes;
 }
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -29,6 +29,11 @@
                "send the request to another node, or again later", RunState::kNotRun, kRetryAfter};
 }
 
+Error JobRejected() {
+  return Error{ErrorKind::kInvalidArgument, "the table service does not store this job",
+               "make the job smaller", RunState::kNotRun, std::nullopt};
+}
+
 Error TooManyWaiting() {
   return Error{ErrorKind::kOverloaded, "too many submissions wait for the table service",
                "send the request to another node, or again later", RunState::kNotRun, kRetryAfter};
@@ -135,6 +140,10 @@
                                    std::function<void()> retry) {
   if (outcome == StoreOutcome::kUnknown) call->may_be_done = true;
   ++call->attempts;
+  if (outcome == StoreOutcome::kRejected && !call->may_be_done) {
+    Refuse(call->job.str(), JobRejected(), call->respond);
+    return;
+  }
   const bool give_up = outcome == StoreOutcome::kNotDone && !call->may_be_done &&
                        call->attempts >= kMaxRefusedAttempts;
   if (give_up || Remaining(*call) < 2 * kStoreRetryDelay) {
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -97,6 +97,12 @@
 
   // fleet_owner_write.cc
   void Commit();
+  // Adds a row to a transaction. One that is larger than the table service takes is left out and
+  // reported, because the service would refuse the whole transaction. Returns whether it was added.
+  bool AddWrite(RowTransaction& tx, const RowAddress& at, std::string value);
+  void AddProgress(RowTransaction& tx);
+  std::optional<RosterRows::Change> AddRoster(RowTransaction& tx, const Roster& wanted);
+  void ReportTooLarge(const RowAddress& at, std::size_t bytes);
   void OnCommitted(const RowsReply& reply, bool renewed, bool released, MonotonicTime sent);
   void WriteWaveStatus();
   void RemoveEndedJobs();
@@ -197,6 +203,11 @@
   bool committing = false;
   // A write without a reply may still be carried out.
   bool commit_uncertain = false;
+  // After the table service has rejected a write, the next ones hold only what the ownership and
+  // new jobs need until then.
+  MonotonicTime essential_writes_until;
+  // When rows that are too large may be reported again.
+  std::map<RowAddress, MonotonicTime> next_too_large_report;
   // Recent duration of a write.
   Millis commit_time{20};
   MonotonicTime next_commit;
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -24,6 +24,10 @@
 constexpr std::size_t kMaxProgressBytes = 400'000;
 // Maximum number of rows of the roster in one transaction; the rest follows with the next one.
 constexpr std::size_t kMaxRosterRows = 8;
+// Time without other rows than the owner's and the start horizon after a rejected write.
+constexpr Millis kRejectedWriteDelay{1000};
+// Interval between two reports of a row that is too large.
+constexpr Millis kTooLargeReportInterval{10'000};
 // Interval between two batches of rows of ended jobs that are removed, and the time for which such
 // a row is kept, so that it does not come back by a repeated submission.
 constexpr Millis kRowRemovalInterval{300};
@@ -31,8 +35,62 @@
 // Interval between two batches of expired rows that are removed.
 constexpr Millis kCleanupInterval{500};
 
+std::string Describe(const RowAddress& at) { return at.table + "/" + at.key; }
+
+std::string DescribeWrites(const RowTransaction& tx) {
+  std::string text = std::to_string(tx.writes.size()) + " rows";
+  const auto largest = std::max_element(
+      tx.writes.begin(), tx.writes.end(),
+      [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
+  if (largest == tx.writes.end()) return text;
+  return text + ", the largest " + Describe(largest->first) + " with " +
+         std::to_string(largest->second.size()) + " bytes";
+}
+
 }  // namespace
 
+void FleetOwner::Impl::ReportTooLarge(const RowAddress& at, std::size_t bytes) {
+  const MonotonicTime now = ports.now();
+  MonotonicTime& next = next_too_large_report[at];
+  if (now < next) return;
+  next = now + kTooLargeReportInterval;
+  ReportEvent(NodeEvent::kRowTooLarge, Describe(at) + " has " + std::to_string(bytes) +
+                                           " bytes, limit " +
+                                           std::to_string(settings.max_row_bytes));
+}
+
+bool FleetOwner::Impl::AddWrite(RowTransaction& tx, const RowAddress& at, std::string value) {
+  if (value.size() > settings.max_row_bytes) {
+    ReportTooLarge(at, value.size());
+    return false;
+  }
+  next_too_large_report.erase(at);
+  tx.writes.emplace_back(at, std::move(value));
+  return true;
+}
+
+void FleetOwner::Impl::AddProgress(RowTransaction& tx) {
+  for (ProgressWrite& it : dispatcher->TakeWrites(kMaxWrites, kMaxProgressBytes)) {
+    const RowAddress at = rows::Progress(it.job);
+    if (it.oversize > 0) ReportTooLarge(at, it.oversize);
+    tx.writes.emplace_back(at, std::move(it.value));
+  }
+}
+
+// Adds some of the rows that differ from the wanted roster; all of them, or none if one is too
+// large.
+std::optional<RosterRows::Change> FleetOwner::Impl::AddRoster(RowTransaction& tx,
+                                                              const Roster& wanted) {
+  RosterRows::Change change = roster_rows.Next(wanted, kMaxRosterRows);
+  const std::size_t before = tx.writes.size();
+  for (const auto& [row, entries] : change.rows) {
+    if (AddWrite(tx, rows::Owned(RosterRows::Key(row)), EncodeRoster(entries))) continue;
+    tx.writes.resize(before);
+    return std::nullopt;
+  }
+  return change;
+}
+
 void FleetOwner::Impl::Commit() {
   const MonotonicTime now = ports.now();
   const auto above_horizon = running ? dispatcher->RevisionAboveHorizon() : std::nullopt;
@@ -41,14 +99,13 @@
   // A write without a reply may be carried out later and overwrite newer progress. Renewing changes
   // the revision of the owner row, which prevents that.
   const bool work = running && dispatcher->HasWrites();
-  const auto wanted_roster = running ? dispatcher->RosterToWrite() : std::nullopt;
+  const bool all_rows = running && now >= essential_writes_until;
+  const auto wanted_roster = all_rows ? dispatcher->RosterToWrite() : std::nullopt;
   const bool renew = lease.RenewalDue(now) || commit_uncertain;
-  const auto new_routes = running ? dispatcher->RoutesToWrite() : std::nullopt;
+  auto new_routes = all_rows ? dispatcher->RoutesToWrite() : std::nullopt;
   const bool release = releasing && !work && open_vm_orders == 0;
-  if (!renew && !work && !wanted_roster && !new_routes && wave_rows.empty() && !release &&
-      !above_horizon) {
-    return;
-  }
+  const bool other_rows = all_rows && (work || !wave_rows.empty());
+  if (!renew && !other_rows && !wanted_roster && !new_routes && !release && !above_horizon) return;
   if (running) {
     horizon = std::max({horizon, Revision(newest_seen.count() + revisions_per_renewal),
                         above_horizon.value_or(Revision())});
@@ -60,39 +117,31 @@
   } else if (renew) {
     tx.writes.emplace_back(rows::Owner(), lease.Renewal().row.Encode());
   }
-  std::optional<RosterRows::Change> roster_change;
   if (running) {
-    for (const ProgressWrite& it : dispatcher->TakeWrites(kMaxWrites, kMaxProgressBytes)) {
-      tx.writes.emplace_back(rows::Progress(it.job), it.value);
-    }
-    if (wanted_roster) {
-      roster_change = roster_rows.Next(*wanted_roster, kMaxRosterRows);
-      for (const auto& [row, entries] : roster_change->rows) {
-        tx.writes.emplace_back(rows::Owned(RosterRows::Key(row)), EncodeRoster(entries));
-      }
-    }
-    if (new_routes) {
-      tx.writes.emplace_back(rows::Owned(rows::kRoutes),
-                             RouteRecord{lease.token(), *new_routes}.Encode());
-    }
     tx.writes.emplace_back(rows::Owned(rows::kStartHorizon),
                            StartHorizon{lease.token(), horizon}.Encode());
-    if (renew && !release) {
+  }
+  std::optional<RosterRows::Change> roster_change;
+  if (all_rows) {
+    AddProgress(tx);
+    if (wanted_roster) roster_change = AddRoster(tx, *wanted_roster);
+    const RouteRecord routes{lease.token(), new_routes.value_or(QueueRoutes())};
+    if (new_routes && !AddWrite(tx, rows::Owned(rows::kRoutes), routes.Encode())) {
+      new_routes.reset();
+    }
+    if (renew && !release && store_now.count() > 0) {
       const Millis passed = now - store_read_at;
       const WaitingCounts counts{StoreClock(store_now.count() + passed.count()),
                                  dispatcher->Waiting()};
-      if (store_now.count() > 0) {
-        tx.writes.emplace_back(rows::Owned(rows::kWaiting), counts.Encode());
-      }
+      AddWrite(tx, rows::Owned(rows::kWaiting), counts.Encode());
     }
   }
   // The rest follows with the next write.
   std::map<std::int64_t, MaintenanceProgress> waves_sent;
   for (const auto& [number, progress] : wave_rows) {
-    if (waves_sent.size() == kMaxWaveWrites) break;
-    waves_sent[number] = progress;
-    tx.writes.emplace_back(rows::Owned(rows::kWavePrefix + std::to_string(number)),
-                           progress.Encode());
+    if (!all_rows || waves_sent.size() == kMaxWaveWrites) break;
+    const RowAddress at = rows::Owned(rows::kWavePrefix + std::to_string(number));
+    if (AddWrite(tx, at, progress.Encode())) waves_sent[number] = progress;
   }
   committing = true;
   const std::optional<Revision> new_horizon = running ? std::optional(horizon) : std::nullopt;
@@ -103,8 +152,12 @@
   if (new_routes) dispatcher->RoutesSent(*new_routes);
   const Millis timeout = std::clamp(kTimeoutFactor * commit_time, kMinCommitTimeout, kStoreTimeout);
   ports.store.Commit(tx, timeout,
-                     OnRows([this, renew, release, roster_change, new_routes, new_horizon,
-                             waves_sent, now](const RowsReply& reply) {
+                     OnRows([this, contents = DescribeWrites(tx), renew, release, roster_change,
+                             new_routes, new_horizon, waves_sent, now](const RowsReply& reply) {
+                       if (reply.outcome == StoreOutcome::kRejected) {
+                         essential_writes_until = ports.now() + kRejectedWriteDelay;
+                         ReportEvent(NodeEvent::kWriteRejected, contents);
+                       }
                        if (reply.outcome == StoreOutcome::kDone) {
                          if (roster_change) {
                            roster_rows.OnWritten(*roster_change);
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -175,6 +175,8 @@
 std::string JobProgress::Encode() const {
   json::object row;
   row["outcome"] = static_cast<int>(outcome);
+  // Nothing of an ended job is started any more.
+  if (outcome != JobOutcome::kOpen) return json::serialize(row);
   std::size_t tasks = failures_.size();
   for (const auto& [step, indices] : done_) tasks += indices.size();
   const bool compact = tasks > kMaxListedTasks;
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -55,6 +55,7 @@
   std::size_t written = 0;
   bool defer_under_overload = true;
   Millis max_lease{10'000};
+  std::size_t max_row_bytes = kMaxRowBytes;
   std::unique_ptr<Dispatcher> dispatcher;
 
   MonotonicTime Now() const { return MonotonicTime(Millis(now_ms)); }
@@ -79,6 +80,7 @@
     settings.first_contact = first_contact;
     settings.defer_under_overload = defer_under_overload;
     settings.max_lease = max_lease;
+    settings.max_row_bytes = max_row_bytes;
     dispatcher = std::make_unique<Dispatcher>(settings, hooks, Now());
     auto config = std::make_shared<DispatchConfig>();
     config->pools = {{PoolId("p"), false, false}};
--- a/coordination/tests/entry_node_calls_test.cc
+++ b/coordination/tests/entry_node_calls_test.cc
@@ -185,6 +185,20 @@
 };
 // clang-format on
 
+// Guards against a submission that is repeated until its deadline although the table service
+// refuses it for good.
+TEST(EntryNodeCalls, ARejectedSubmissionIsAnsweredAtOnce) {
+  const auto reply = Call(CallKind::kSubmit);
+  RowsReply rejected;
+  rejected.outcome = StoreOutcome::kRejected;
+  const auto done = std::move(store.transactions.front().second);
+  store.transactions.pop_front();
+  done(rejected);
+  CHECK(reply->has_value() && (*reply)->kind == CallerReply::Kind::kError);
+  CHECK((*reply)->error.kind == ErrorKind::kInvalidArgument);
+  CHECK((*reply)->error.run == RunState::kNotRun);
+}
+
 // Guards against an accepted job that is answered as gone, because it ends and its row is removed
 // between the two reads of its state.
 TEST(EntryNodeCalls, AJobThatEndsBetweenTwoReadsOfItsStateIsNotGone) {
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -106,6 +106,9 @@
         if (event == NodeEvent::kEvacuationBegun || event == NodeEvent::kEvacuationEnded) {
           evacuation_events.emplace_back(event, detail);
         }
+        if (event == NodeEvent::kRowTooLarge || event == NodeEvent::kWriteRejected) {
+          row_events.emplace_back(event, detail);
+        }
         Trace(n, "event " + std::to_string(static_cast<int>(event)) + " " + detail);
       }};
   EntryNode::Settings settings;
@@ -121,6 +124,8 @@
     settings.lease.capability = settings_.capabilities[n];
   }
   settings.evacuation_max_age = settings_.evacuation_max_age;
+  settings.owner.max_row_bytes = settings_.told_max_row_bytes;
+  settings.owner.dispatcher.max_row_bytes = settings_.told_max_row_bytes;
   node.entry = std::make_unique<EntryNode>(settings, ports);
 }
 
@@ -202,11 +207,12 @@
   constexpr std::size_t kMaxEntries = 100;
   // 1 MB, in base64.
   constexpr std::size_t kMaxBytes = 750'000;
-  constexpr std::size_t kMaxRowBytes = 65'536;
-  if (entries > kMaxEntries || bytes > kMaxBytes || largest > kMaxRowBytes) {
-    Violate("a transaction has " + std::to_string(entries) + " entries and " +
-            std::to_string(bytes) + " bytes, " + std::to_string(largest) + " in one row");
-    reply.outcome = StoreOutcome::kNotDone;
+  if (entries > kMaxEntries || bytes > kMaxBytes || largest > settings_.max_row_bytes) {
+    if (settings_.told_max_row_bytes <= settings_.max_row_bytes) {
+      Violate("a transaction has " + std::to_string(entries) + " entries and " +
+              std::to_string(bytes) + " bytes, " + std::to_string(largest) + " in one row");
+    }
+    reply.outcome = StoreOutcome::kRejected;
     return reply;
   }
   bool holds = true;
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -81,6 +81,9 @@
     double copied_jobs = 0;
     // Upper limit of the processors of all tasks, in milli-cores, as one team; 0 for no limit.
     std::int64_t team_cpu_limit = 0;
+    // Maximum size of a row of the table service, and what the nodes are told of it.
+    std::size_t max_row_bytes = kMaxRowBytes;
+    std::size_t told_max_row_bytes = kMaxRowBytes;
   };
   // A task's run on a backend server.
   struct Run {
@@ -201,6 +204,8 @@
   std::map<JobId, ClientJob> jobs;
   DispatchConfig config;
   int starts = 0;
+  // The reports of all nodes about rows that were not written.
+  std::vector<std::pair<NodeEvent, std::string>> row_events;
   // The reports of all nodes about evacuations.
   std::vector<std::pair<NodeEvent, std::string>> evacuation_events;
   // When the data centres were requested to be evacuated.
--- /dev/null
+++ b/coordination/tests/row_limits_test.cc
@@ -0,0 +1,127 @@
+#include <optional>
+#include <string>
+
+#include "dispatcher_fixture.h"
+#include "fleet_sim.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace sapphirewheel;  // NOLINT(google-build-using-namespace)
+using sapphirewheel::testing::DispatcherFixture;
+using sapphirewheel::testing::FleetSim;
+using sapphirewheel::testing::Step;
+
+namespace {
+
+constexpr std::size_t kSmallRow = 2000;
+const JobId kLargeJob("00000000000000a1");
+constexpr std::int64_t kSubmittedAt = 2000;
+
+// Submits a job of 900 tasks, whose progress outgrows a row of kSmallRow.
+void SubmitLargeJob(FleetSim& sim) {
+  FleetSim::ClientJob& known = sim.jobs[kLargeJob];
+  known.id = kLargeJob;
+  known.queue = sim.config.queues[0].id;
+  known.spec.steps = {Step(900, 50)};
+  StoredJob job;
+  job.queue = known.queue;
+  job.spec = known.spec;
+  const CallerCall call{CallKind::kSubmit,    "host",      "/q0/" + kLargeJob.str(), "",
+                        EncodeStoredJob(job), Millis(3000)};
+  std::optional<CallerReply> reply;
+  sim.nodes[0].entry->Handle(call, [&](const CallerReply& it) { reply = it; });
+  sim.RunUntil(sim.now() + 1000);
+  CHECK(reply.has_value() && reply->kind == CallerReply::Kind::kAccepted);
+}
+
+std::string StateOf(FleetSim& sim, const JobId& job) {
+  const CallerCall call{CallKind::kRead, "host", "/q0/" + job.str(), "", "", Millis(3000)};
+  std::string state;
+  sim.nodes[0].entry->Handle(call, [&](const CallerReply& it) { state = it.state; });
+  sim.RunUntil(sim.now() + 1000);
+  return state;
+}
+
+bool HasReport(const FleetSim& sim, NodeEvent event, const std::string& part) {
+  return std::any_of(sim.row_events.begin(), sim.row_events.end(), [&](const auto& it) {
+    return it.first == event && it.second.find(part) != std::string::npos;
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(RowLimits){};
+
+// Guards against one job that stops all others: its progress is larger than a row, and the refused
+// transaction held the progress of the others and the renewal of the ownership.
+TEST(RowLimits, AJobWhoseProgressDoesNotFitFailsAlone) {
+  FleetSim::Settings settings;
+  settings.max_row_bytes = settings.told_max_row_bytes = kSmallRow;
+  settings.long_running_jobs = 0;
+  FleetSim sim(settings);
+  sim.RunUntil(kSubmittedAt);
+  SubmitLargeJob(sim);
+  const int owner = sim.OwnerNode();
+  for (int n = 0; n < 20; ++n) sim.At(4000 + 200 * n, [&sim] { sim.SubmitRandomJob(); });
+  sim.RunUntil(30'000);
+  STRCMP_EQUAL("failed", StateOf(sim, kLargeJob).c_str());
+  CHECK(HasReport(sim, NodeEvent::kRowTooLarge, "progress/" + kLargeJob.str()));
+  CHECK(HasReport(sim, NodeEvent::kRowTooLarge, "limit 2000"));
+  LONGS_EQUAL(owner, sim.OwnerNode());
+  sim.jobs.erase(kLargeJob);
+  for (auto& [id, job] : sim.jobs) sim.Poll(job);
+  sim.RunUntil(sim.now() + 5000);
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+  for (const auto& it : sim.Unfinished()) FAIL(it.c_str());
+}
+
+// Guards against an owner that loses the ownership, and starts nothing new, because the table
+// service refuses one row for a reason that the node does not know.
+TEST(RowLimits, ARejectedWriteDoesNotEndTheOwnership) {
+  FleetSim::Settings settings;
+  settings.max_row_bytes = kSmallRow;
+  FleetSim sim(settings);
+  sim.RunUntil(kSubmittedAt);
+  SubmitLargeJob(sim);
+  const int owner = sim.OwnerNode();
+  sim.RunUntil(15'000);
+  CHECK(HasReport(sim, NodeEvent::kWriteRejected, "progress/" + kLargeJob.str()));
+  const int starts = sim.starts;
+  for (int n = 0; n < 5; ++n) sim.SubmitRandomJob();
+  sim.RunUntil(20'000);
+  CHECK(sim.starts > starts);
+  LONGS_EQUAL(owner, sim.OwnerNode());
+  LONGS_EQUAL(1, sim.starts_of.size());
+}
+
+class RowLimitsFixture : public DispatcherFixture {};
+TEST_GROUP_BASE(DispatcherRowLimits, RowLimitsFixture){};
+
+TEST(DispatcherRowLimits, TheRowOfAJobThatDoesNotFitSaysThatItFailed) {
+  max_row_bytes = 100;
+  MakeDispatcher(1);
+  AddBackend("b1");
+  AddJob("large", {Step(60, 100)});
+  AddJob("small", {Step(1, 100)});
+  Advance(200);
+  const auto sent = starts;
+  LONGS_EQUAL(61, sent.size());
+  for (const StartOrder& it : sent) {
+    if (it.task.index < 59) EndRun(it, RunEnd::kDone);
+  }
+  for (const PollOrder& it : AdvanceWithoutReplies(1000)) ReplyTo(it);
+  const auto writes = dispatcher->TakeWrites(10, 100'000);
+  LONGS_EQUAL(2, writes.size());
+  for (const ProgressWrite& it : writes) {
+    const auto progress = JobProgress::Decode(it.value);
+    CHECK(progress.has_value());
+    const bool large = it.job == JobId("large");
+    CHECK(progress.value().outcome == (large ? JobOutcome::kFailed : JobOutcome::kCompleted));
+    CHECK((it.oversize > max_row_bytes) == large);
+  }
+  dispatcher->WritesDone(true);
+  // The ends on the server are acknowledged, and the run that is left is stopped.
+  Advance(1000);
+  LONGS_EQUAL(0, ended[BackendId("b1")].size());
+  LONGS_EQUAL(1, stops.size());
+}
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -74,6 +74,8 @@
   kJobTaken = 820,
   kJobEnded = 821,
   kJobUnreadable = 822,
+  kRowTooLarge = 823,
+  kWriteRejected = 824,
   kTaskStarted = 830,
   kTaskEnded = 831,
   kTaskLost = 832,
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -158,6 +158,14 @@
        kNone},
       {Event::kJobUnreadable, kError, "job-unreadable", "A stored job cannot be decoded.",
        "Restore the row or cancel the job."},
+      {Event::kRowTooLarge, kError, "row-too-large",
+       "A row is larger than the table service takes and was not written. If it is the progress of "
+       "a job, the job failed; other rows keep their last content.",
+       "Split the job, or spread the queues or VMs that the row lists over more deployments."},
+      {Event::kWriteRejected, kError, "write-rejected",
+       "The table service rejected a write of the owner for good; for a second only the ownership "
+       "and the start horizon are written.",
+       "Compare the rows that are named with the limits of the table service."},
       {Event::kTaskStarted, kInfo, "task-started", "A run of a task was ordered.", kNone},
       {Event::kTaskEnded, kInfo, "task-ended", "A backend server reported the end of a run.",
        kNone},
