Bound what an accepted job can make of its rows

Cause: no bound on how many occurrences of a job are open, on a job's row with the mark of a cancel, or on the row of its progress. The state of finished occurrences was never dropped either, and each placement round went through it.

Fix: occurrences of a job are opened as long as their progress, at most, takes half of a row; the others wait, which is logged (826). The state of finished ones is dropped once nothing of them runs. A submission whose rows cannot fit is refused at once with the size and the limit. A job of an older version without room for the mark is cancelled without its text, which only starts need.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -75,6 +75,8 @@
       return Event::kJobTaken;
     case DecisionKind::kJobEnded:
       return Event::kJobEnded;
+    case DecisionKind::kOccurrencesWait:
+      return Event::kOccurrencesWait;
     case DecisionKind::kTaskStarted:
       return Event::kTaskStarted;
     case DecisionKind::kTaskEnded:
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -119,6 +119,7 @@
 enum class DecisionKind {
   kJobTaken,
   kJobEnded,
+  kOccurrencesWait,
   kTaskStarted,
   kTaskEnded,
   kTaskLost,
--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -38,6 +38,10 @@
   }
   [[nodiscard]] std::size_t FinishedCount() const { return finished_.size(); }
 
+  // Upper bound of the bytes that an open occurrence of the work adds to a row, as long as none of
+  // its tasks has failed.
+  [[nodiscard]] static std::size_t MaxOccurrenceBytes(const WorkSpec& spec);
+
   // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence, and up to
   // 20 bytes for each gap between finished occurrences.
   [[nodiscard]] std::string Encode() const;
--- a/coordination/include/sapphirewheel/coordination/stored_job.h
+++ b/coordination/include/sapphirewheel/coordination/stored_job.h
@@ -21,6 +21,12 @@
 [[nodiscard]] std::string EncodeCancelMark();
 [[nodiscard]] bool IsCancelMark(std::string_view text);
 
+// Validates that the job's row, of `row_bytes` bytes, has room for the mark that the job is
+// cancelled, and that the row of its progress can't outgrow the limit as long as few tasks fail.
+// Errors: kInvalidArgument.
+[[nodiscard]] Result<void> CheckRowSizes(const WorkSpec& spec, std::size_t row_bytes,
+                                         std::size_t max_row_bytes);
+
 // Validates the step numbers, counts and sizes of a submitted job. Errors: kInvalidArgument.
 [[nodiscard]] Result<void> CheckWorkSpec(const WorkSpec& spec);
 // Validates that times, limits and repetitions of a submitted job are in range and that its work
--- a/coordination/src/dispatcher_entries.h
+++ b/coordination/src/dispatcher_entries.h
@@ -120,6 +120,16 @@
   // As of the last ranking that it was part of; the deadline is a time of day.
   StartRank rank;
   bool ranked = false;
+
+  // Whether any run of its tasks is under way.
+  [[nodiscard]] bool HasRuns() const {
+    const auto runs = [](const TaskState& task) { return task.backend != nullptr; };
+    return std::any_of(steps.begin(), steps.end(), [&](const StepState& step) {
+      return std::any_of(step.tasks.begin(), step.tasks.end(), runs) ||
+             std::any_of(step.copies.begin(), step.copies.end(),
+                         [&](const auto& copy) { return runs(copy.second); });
+    });
+  }
 };
 
 struct JobEntry {
@@ -128,8 +138,14 @@
   const QueuePolicy* queue = nullptr;
   JobProgress progress;
   std::map<int, OccurrenceState> open;
+  // Some of the open occurrences are finished.
+  bool has_finished_open = false;
   // Number of the next occurrence to open.
   int next_occurrence = 0;
+  // Occurrences that may be open at the same time, so that the progress row has room for them.
+  std::size_t max_open = 1;
+  // It was reported that due occurrences wait for others.
+  bool occurrences_wait = false;
   bool inherited = false;
   // Its team had submitted more than its share.
   bool over_share = false;
@@ -146,13 +162,8 @@
   [[nodiscard]] bool IsOpen() const { return progress.outcome == JobOutcome::kOpen; }
   // Whether any run of it is under way.
   [[nodiscard]] bool HasRuns() const {
-    const auto runs = [](const TaskState& task) { return task.backend != nullptr; };
-    return copies > 0 || std::any_of(open.begin(), open.end(), [&](const auto& occurrence) {
-             const auto& steps = occurrence.second.steps;
-             return std::any_of(steps.begin(), steps.end(), [&](const StepState& step) {
-               return std::any_of(step.tasks.begin(), step.tasks.end(), runs);
-             });
-           });
+    return copies > 0 || std::any_of(open.begin(), open.end(),
+                                     [](const auto& it) { return it.second.HasRuns(); });
   }
 };
 
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -1,10 +1,15 @@
 #include <algorithm>
+#include <utility>
 
 #include "dispatcher_state.h"
 
 namespace sapphirewheel {
 namespace {
 
+// The part of a progress row, as a divisor, that open occurrences may take; the rest is for lists
+// of few finished occurrences and for failed runs.
+constexpr std::size_t kOpenPartOfRow = 2;
+
 // Describes the size of a job briefly, for the log.
 std::string Describe(const WorkSpec& spec) {
   std::string text;
@@ -52,6 +57,13 @@
                  key.index};
 }
 
+const StepSpec* Dispatcher::Impl::FindStep(const TaskKey& key) {
+  const auto job = jobs.find(key.job);
+  if (job == jobs.end()) return nullptr;
+  const auto& steps = job->second->stored.spec.steps;
+  return key.step < static_cast<int>(steps.size()) ? &steps[key.step] : nullptr;
+}
+
 TaskRef Dispatcher::Impl::FindStarted(const TaskKey& key) {
   const auto found = jobs.find(key.job);
   if (found == jobs.end()) return {};
@@ -99,6 +111,8 @@
   if (job.stored.spec.repetitions == 0) {
     OpenOccurrence(job, 0);
   } else {
+    const std::size_t bytes = JobProgress::MaxOccurrenceBytes(job.stored.spec);
+    job.max_open = std::max<std::size_t>(1, settings.max_row_bytes / kOpenPartOfRow / bytes);
     timed_jobs.insert(&job);
   }
   place_due = true;
@@ -161,19 +175,43 @@
   const UnixMillis now = hooks.wall_clock();
   const std::vector<JobEntry*> timed(timed_jobs.begin(), timed_jobs.end());
   for (JobEntry* job : timed) {
-    const WorkSpec& spec = job->stored.spec;
-    while (job->next_occurrence < spec.repetitions) {
-      const std::int64_t due =
-          spec.first_due.count() + job->next_occurrence * spec.interval.count();
-      if (now.count() + settings.max_early_start.count() < due) break;
-      const bool open = job->open.count(job->next_occurrence) > 0;
-      if (!open && !job->progress.IsFinished(job->next_occurrence)) {
-        OpenOccurrence(*job, job->next_occurrence);
-        place_due = true;
+    ForgetFinishedOccurrences(*job);
+    OpenDueOccurrences(*job, now);
+  }
+}
+
+void Dispatcher::Impl::OpenDueOccurrences(JobEntry& job, UnixMillis now) {
+  const WorkSpec& spec = job.stored.spec;
+  while (job.next_occurrence < spec.repetitions) {
+    const std::int64_t due = spec.first_due.count() + job.next_occurrence * spec.interval.count();
+    if (now.count() + settings.max_early_start.count() < due) break;
+    const bool open = job.open.count(job.next_occurrence) > 0;
+    if (!open && !job.progress.IsFinished(job.next_occurrence)) {
+      if (job.open.size() >= job.max_open) {
+        if (!std::exchange(job.occurrences_wait, true)) {
+          Report(DecisionKind::kOccurrencesWait, job.stored.id, "", BackendId(), RunNumber(),
+                 "number " + std::to_string(job.next_occurrence) + " is due while " +
+                     std::to_string(job.open.size()) + " are open");
+        }
+        return;
       }
-      ++job->next_occurrence;
+      OpenOccurrence(job, job.next_occurrence);
+      place_due = true;
     }
+    ++job.next_occurrence;
   }
+  job.occurrences_wait = false;
+}
+
+void Dispatcher::Impl::ForgetFinishedOccurrences(JobEntry& job) {
+  if (!job.has_finished_open) return;
+  job.has_finished_open = false;
+  std::erase_if(job.open, [&](const auto& it) {
+    if (!job.progress.IsFinished(it.first)) return false;
+    const bool runs = it.second.HasRuns();
+    job.has_finished_open = job.has_finished_open || runs;
+    return !runs;
+  });
 }
 
 // Called after a task was marked done. Enables the steps that follow, or ends the occurrence or the
@@ -187,6 +225,7 @@
   }
   CountServed(job, occurrence);
   job.progress.FinishOccurrence(occurrence.number);
+  job.has_finished_open = true;
   MarkDirty(job);
   if (job.progress.FinishedCount() >= static_cast<std::size_t>(std::max(1, spec.repetitions))) {
     EndJob(job, JobOutcome::kCompleted, "all tasks done");
--- a/coordination/src/dispatcher_routes.cc
+++ b/coordination/src/dispatcher_routes.cc
@@ -40,8 +40,8 @@
     const BackendEntry& backend = *row.second;
     if (backend.report.pool != pool) return false;
     const auto is_of_queue = [&](const TaskKey& key) {
-      const TaskRef ref = Find(key);
-      return ref && ref.job->stored.queue == queue;
+      const auto job = jobs.find(key.job);
+      return job != jobs.end() && job->second->stored.queue == queue;
     };
     return std::any_of(backend.tasks.begin(), backend.tasks.end(), is_of_queue) ||
            std::any_of(backend.orphans.begin(), backend.orphans.end(),
--- a/coordination/src/dispatcher_runs.cc
+++ b/coordination/src/dispatcher_runs.cc
@@ -151,8 +151,9 @@
   ExtendLease(backend);
   it->second.retry_at = now_;
   retry_backends.insert(backend.report.id);
-  it->second.unknown_size = !ref;
-  if (ref) it->second.charge = ref.spec->Charge();
+  const StepSpec* spec = FindStep(row.task);
+  it->second.unknown_size = spec == nullptr;
+  if (spec != nullptr) it->second.charge = spec->Charge();
   Report(DecisionKind::kTaskStopped, row.task.job, row.task.str(), backend.report.id, row.run,
          "orphan run, no longer needed; " + DescribeIncarnation(backend));
 }
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -68,6 +68,10 @@
   void CountArrival(const JobEntry& job);
   void OpenOccurrence(JobEntry& job, int number);
   void OpenDueOccurrences();
+  // Opens those of one job, as many as may be open.
+  void OpenDueOccurrences(JobEntry& job, UnixMillis now);
+  // Drops the state of finished occurrences of which nothing runs any more.
+  static void ForgetFinishedOccurrences(JobEntry& job);
   void UpdateReady(JobEntry& job, OccurrenceState& occurrence);
   void FinishStepIfDone(JobEntry& job, OccurrenceState& occurrence);
   void EndJob(JobEntry& job, JobOutcome outcome, const std::string& why);
@@ -77,6 +81,8 @@
   // Of a task that a backend server lists. Opens its occurrence if that is not due here yet: an
   // earlier owner, whose time of day was ahead, has started it.
   TaskRef FindStarted(const TaskKey& key);
+  // The step of a task, also of an occurrence that is not open; null if the job is unknown.
+  const StepSpec* FindStep(const TaskKey& key);
   [[nodiscard]] std::uint64_t WrittenUpTo() const;
   // Allows the ends on a backend server to be acknowledged whose changes are among the first
   // `written` ones.
--- a/coordination/src/entry_node_calls.cc
+++ b/coordination/src/entry_node_calls.cc
@@ -179,9 +179,17 @@
 // Stores the job. If the id is submitted again, the row already exists and the job counts as
 // accepted.
 void EntryNode::Impl::Submit(const PendingCallRef& call) {
+  std::string value = EncodeStoredJob(call->stored);
+  if (!call->stored.cancelled) {
+    const auto fits = CheckRowSizes(call->stored.spec, value.size(), settings.owner.max_row_bytes);
+    if (!fits) {
+      Refuse(call->job.str(), fits.error(), call->respond);
+      return;
+    }
+  }
   RowTransaction tx;
   tx.expected.emplace_back(rows::Job(call->job), call->stored.revision);
-  tx.writes.emplace_back(rows::Job(call->job), EncodeStoredJob(call->stored));
+  tx.writes.emplace_back(rows::Job(call->job), std::move(value));
   const Millis timeout = std::min(kStoreTimeout, Remaining(*call));
   ports.store.Commit(tx, timeout, Guard<const RowsReply&>([this, call](const RowsReply& reply) {
                        if (reply.outcome == StoreOutcome::kConflict) {
@@ -344,9 +352,15 @@
 }
 
 void EntryNode::Impl::WriteCancel(const PendingCallRef& call, Revision revision) {
+  std::string value = EncodeStoredJob(call->stored);
+  if (value.size() > settings.owner.max_row_bytes) {
+    // A job of an older version may leave no room for the mark. Only starts need its text.
+    call->stored.spec.payload.clear();
+    value = EncodeStoredJob(call->stored);
+  }
   RowTransaction tx;
   tx.expected.emplace_back(rows::Job(call->job), revision);
-  tx.writes.emplace_back(rows::Job(call->job), EncodeStoredJob(call->stored));
+  tx.writes.emplace_back(rows::Job(call->job), std::move(value));
   ports.store.Commit(tx, std::min(kStoreTimeout, Remaining(*call)),
                      Guard<const RowsReply&>([this, call](const RowsReply& reply) {
                        if (reply.outcome == StoreOutcome::kDone) {
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -155,6 +155,21 @@
   std::erase_if(failures_, [&](const auto& row) { return std::get<0>(row.first) == occurrence; });
 }
 
+std::size_t JobProgress::MaxOccurrenceBytes(const WorkSpec& spec) {
+  const auto digits = [](std::size_t n) { return std::to_string(n).size(); };
+  const std::size_t occurrence = digits(static_cast<std::size_t>(std::max(spec.repetitions, 1)));
+  // [first,last], of the finished occurrences before it.
+  constexpr std::size_t kRangePunctuation = 4;
+  std::size_t bytes = 2 * occurrence + kRangePunctuation;
+  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+    // [occurrence,step,"bitmap"],
+    constexpr std::size_t kStepPunctuation = 7;
+    const auto tasks = static_cast<std::size_t>(std::max(spec.steps[n].count, 1));
+    bytes += occurrence + digits(n) + kStepPunctuation + (tasks - 1) / kBitsPerDigit + 1;
+  }
+  return bytes;
+}
+
 json::array JobProgress::EncodeFailureBitmaps() const {
   // Most tasks that failed did so in runs with the same numbers.
   std::map<std::tuple<int, int, std::set<RunNumber>>, std::set<int>> groups;
--- a/coordination/src/stored_job.cc
+++ b/coordination/src/stored_job.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <chrono>
 
+#include "sapphirewheel/coordination/job_progress.h"
 #include "sapphirewheel/state/json.h"
 
 namespace sapphirewheel {
@@ -130,6 +131,25 @@
 
 bool IsCancelMark(std::string_view text) { return text == EncodeCancelMark(); }
 
+Result<void> CheckRowSizes(const WorkSpec& spec, std::size_t row_bytes, std::size_t max_row_bytes) {
+  constexpr std::string_view kCancelledMember = R"("cancelled":true,)";
+  if (row_bytes + kCancelledMember.size() > max_row_bytes) {
+    return Invalid("the job takes " + std::to_string(row_bytes) + " bytes in the table service, " +
+                       std::to_string(max_row_bytes - kCancelledMember.size()) + " are allowed",
+                   "give the job fewer steps or a shorter text");
+  }
+  // The rest is for failed runs.
+  constexpr std::size_t kParts = 4;
+  const std::size_t limit = max_row_bytes / kParts * (kParts - 1);
+  const std::size_t progress = JobProgress::MaxOccurrenceBytes(spec);
+  if (progress > limit) {
+    return Invalid("the progress of the job takes up to " + std::to_string(progress) +
+                       " bytes in the table service, " + std::to_string(limit) + " are allowed",
+                   "give the job fewer steps");
+  }
+  return boost::outcome_v2::success();
+}
+
 Result<void> CheckWorkSpec(const WorkSpec& spec) {
   if (spec.payload.size() > kMaxPayload) {
     return Invalid("the job's text is longer than " + std::to_string(kMaxPayload) + " bytes",
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -53,6 +53,7 @@
   std::int64_t started_at = 1;
   std::int64_t next_end = 1;
   std::size_t written = 0;
+  std::size_t largest_row = 0;
   bool defer_under_overload = true;
   Millis max_lease{10'000};
   std::size_t max_row_bytes = kMaxRowBytes;
@@ -151,7 +152,10 @@
       if (const auto routes = dispatcher->RoutesToWrite()) dispatcher->RoutesWritten(*routes);
       constexpr std::size_t kBatch = 100;
       constexpr std::size_t kBatchBytes = 100'000;
-      written += dispatcher->TakeWrites(kBatch, kBatchBytes).size();
+      for (const ProgressWrite& it : dispatcher->TakeWrites(kBatch, kBatchBytes)) {
+        ++written;
+        largest_row = std::max(largest_row, it.value.size());
+      }
       dispatcher->WritesDone(true);
       const std::size_t before = starts.size();
       dispatcher->Tick(Now(), true);
--- a/coordination/tests/entry_node_calls_test.cc
+++ b/coordination/tests/entry_node_calls_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "sapphirewheel/coordination/entry_node.h"
@@ -18,6 +19,7 @@
 constexpr const char* kOperatorTable = "operator";
 constexpr const char* kHost = "jobs.example";
 const JobId kJob("00000000000000a1");
+constexpr std::size_t kPayloadBytes = 4000;
 
 // A table service that carries out each call when the test asks for it, the oldest read first.
 class SteppedStore final : public RowStore {
@@ -118,6 +120,9 @@
 // Knows one queue, which is open to all.
 class OneQueueCodec final : public PlatformCodec {
  public:
+  OneQueueCodec() { spec.steps.resize(1); }
+  // What each call submits.
+  WorkSpec spec;
   std::string OperatorTable() const override { return kOperatorTable; }
   std::string RegistryTable() const override { return "registry"; }
   std::optional<DispatchConfig> Config(const StoredRow& row) const override {
@@ -132,11 +137,7 @@
   std::optional<WaveOrder> Wave(const StoredRow&) const override { return std::nullopt; }
   std::optional<BackendReport> Backend(const StoredRow&) const override { return std::nullopt; }
   std::optional<EvacuationRow> Evacuation(const StoredRow&) const override { return std::nullopt; }
-  Result<WorkSpec> Submission(const std::string&) const override {
-    WorkSpec spec;
-    spec.steps.resize(1);
-    return spec;
-  }
+  Result<WorkSpec> Submission(const std::string&) const override { return spec; }
   std::pair<RowAddress, std::string> WaveStatus(std::int64_t, bool) const override { return {}; }
 };
 
@@ -155,11 +156,13 @@
   NoBackends backends;
   OneQueueCodec codec;
   std::unique_ptr<EntryNode> node;
+  std::size_t max_row_bytes = kMaxRowBytes;
 
   void setup() override { MakeNode(0); }
   void MakeNode(std::size_t max_submission_bytes) {
     EntryNode::Settings settings;
     settings.max_submission_bytes = max_submission_bytes;
+    settings.owner.max_row_bytes = max_row_bytes;
     settings.self = NodeId("n#1");
     settings.admission = {Millis(3500), Millis(1500)};
     settings.lease.self = settings.self;
@@ -199,6 +202,62 @@
   CHECK((*reply)->error.run == RunState::kNotRun);
 }
 
+// Guards against a job that is accepted and cannot be cancelled, because the mark makes its row too
+// large, and against one that the table service refuses each time.
+TEST(EntryNodeCalls, AJobWhoseRowLeavesNoRoomForTheMarkIsRefused) {
+  StoredJob job;
+  job.queue = QueueId("press");
+  job.accepted_at = UnixMillis(1'700'000'000'000);
+  job.spec = codec.spec;
+  job.cancelled = true;
+  const std::size_t bytes = EncodeStoredJob(job).size();
+  codec.spec.payload = "x";
+  constexpr std::size_t kEmptyMember = std::string_view(R"("payload":"",)").size();
+  codec.spec.payload.resize(kPayloadBytes, 'x');
+  max_row_bytes = bytes + kEmptyMember + codec.spec.payload.size();
+  MakeNode(0);
+  const auto fits = Call(CallKind::kSubmit);
+  store.ServeAll();
+  CHECK(fits->has_value() && (*fits)->kind == CallerReply::Kind::kAccepted);
+  codec.spec.payload += 'x';
+  store.rows.erase(rows::Job(kJob));
+  const auto refused = Call(CallKind::kSubmit);
+  CHECK(refused->has_value() && (*refused)->kind == CallerReply::Kind::kError);
+  CHECK((*refused)->error.kind == ErrorKind::kInvalidArgument);
+  CHECK((*refused)->error.run == RunState::kNotRun);
+}
+
+// Guards against the same for a job that was accepted before.
+TEST(EntryNodeCalls, AJobWithoutRoomForTheMarkIsCancelledWithoutItsText) {
+  StoredJob job;
+  job.id = kJob;
+  job.queue = QueueId("press");
+  job.spec = codec.spec;
+  job.spec.payload = std::string(kPayloadBytes, 'x');
+  store.rows[rows::Job(kJob)] = EncodeStoredJob(job);
+  max_row_bytes = store.rows[rows::Job(kJob)].size();
+  MakeNode(0);
+  const auto reply = Call(CallKind::kCancel);
+  store.ServeAll();
+  CHECK(reply->has_value() && (*reply)->kind == CallerReply::Kind::kCancelled);
+  const auto stored = DecodeStoredJob(kJob, store.rows[rows::Job(kJob)]);
+  CHECK(stored.has_value() && stored.value().cancelled);
+  CHECK(store.rows[rows::Job(kJob)].size() <= max_row_bytes);
+}
+
+// Guards against a job of many small steps whose progress outgrows its row before it is done.
+TEST(EntryNodeCalls, AJobWhoseProgressCannotBeStoredIsRefused) {
+  constexpr std::size_t kSteps = 5000;
+  codec.spec.steps.resize(kSteps);
+  const auto reply = Call(CallKind::kSubmit);
+  CHECK(reply->has_value() && (*reply)->kind == CallerReply::Kind::kError);
+  CHECK((*reply)->error.kind == ErrorKind::kInvalidArgument);
+  codec.spec.steps.resize(kSteps / 2);
+  const auto smaller = Call(CallKind::kSubmit);
+  store.ServeAll();
+  CHECK(smaller->has_value() && (*smaller)->kind == CallerReply::Kind::kAccepted);
+}
+
 // Guards against an accepted job that is answered as gone, because it ends and its row is removed
 // between the two reads of its state.
 TEST(EntryNodeCalls, AJobThatEndsBetweenTwoReadsOfItsStateIsNotGone) {
--- a/coordination/tests/job_progress_test.cc
+++ b/coordination/tests/job_progress_test.cc
@@ -111,6 +111,32 @@
   STRCMP_EQUAL(R"({"outcome":0,"finished_ranges":[[0,11999]]})", progress.value().Encode().c_str());
 }
 
+// The bound that the number of open occurrences is derived from.
+TEST(JobProgress, OpenOccurrencesTakeNoMoreThanTheirBound) {
+  constexpr int kRepetitions = 1'000'000;
+  constexpr int kOpen = 300;
+  WorkSpec spec;
+  spec.repetitions = kRepetitions;
+  for (const int count : {1, 4, 5, 300}) spec.steps.emplace_back().count = count;
+  JobProgress progress;
+  // Every other one is finished; of the others all but the last task of each step is done.
+  for (int n = kRepetitions - 2 * kOpen; n < kRepetitions; ++n) {
+    if (n % 2 == 0) {
+      progress.FinishOccurrence(n);
+      continue;
+    }
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      for (int index = 0; index < spec.steps[step].count; ++index) {
+        progress.MarkDone({kTask.job, n, step, index});
+      }
+    }
+  }
+  const std::size_t bound = kOpen * JobProgress::MaxOccurrenceBytes(spec);
+  const std::size_t bytes = progress.Encode().size();
+  CHECK(bytes <= bound);
+  CHECK(bytes > bound / 2);
+}
+
 TEST(JobProgress, RejectsMalformedRanges) {
   for (const char* it : {"7", "[7]", "[[7]]", "[[7,6]]", "[[-1,6]]", "[[0,1,2]]",
                          "[[0,2147483647]]", R"([["0",1]])"}) {
--- a/coordination/tests/row_limits_test.cc
+++ b/coordination/tests/row_limits_test.cc
@@ -17,6 +17,18 @@
 const JobId kLargeJob("00000000000000a1");
 constexpr std::int64_t kSubmittedAt = 2000;
 
+// A job of two steps that is due `repetitions` times at once. Nothing may run its second step.
+StoredJob OverdueSchedule(int repetitions) {
+  StoredJob job;
+  job.id = JobId("late");
+  job.queue = QueueId("q");
+  job.spec.steps = {Step(1, 100), Step(1, 100)};
+  job.spec.steps[1].after = {0};
+  job.spec.steps[1].required_label = "none";
+  job.spec.repetitions = repetitions;
+  return job;
+}
+
 // Submits a job of 900 tasks, whose progress outgrows a row of kSmallRow.
 void SubmitLargeJob(FleetSim& sim) {
   FleetSim::ClientJob& known = sim.jobs[kLargeJob];
@@ -94,7 +106,14 @@
   LONGS_EQUAL(1, sim.starts_of.size());
 }
 
-class RowLimitsFixture : public DispatcherFixture {};
+class RowLimitsFixture : public DispatcherFixture {
+ public:
+  std::int64_t Count(DecisionKind kind) const {
+    return std::count_if(decisions.begin(), decisions.end(),
+                         [&](const Decision& it) { return it.kind == kind; });
+  }
+};
+
 TEST_GROUP_BASE(DispatcherRowLimits, RowLimitsFixture){};
 
 TEST(DispatcherRowLimits, TheRowOfAJobThatDoesNotFitSaysThatItFailed) {
@@ -125,3 +144,42 @@
   LONGS_EQUAL(0, ended[BackendId("b1")].size());
   LONGS_EQUAL(1, stops.size());
 }
+
+// Guards against a schedule whose progress outgrows its row because all of its due occurrences are
+// open at the same time.
+TEST(DispatcherRowLimits, OverdueOccurrencesAreOpenedAsFarAsTheirProgressFits) {
+  AddBackend("b1");
+  dispatcher->AddJob(OverdueSchedule(8000), std::nullopt, false, Now());
+  std::size_t ended_starts = 0;
+  for (int n = 0; n < 100; ++n) {
+    Advance(100);
+    for (; ended_starts < starts.size(); ++ended_starts) {
+      EndRun(starts[ended_starts], RunEnd::kDone);
+    }
+  }
+  CHECK(largest_row < kMaxRowBytes);
+  // As many as have room for their progress, which is of about 30 bytes.
+  CHECK(starts.size() > 500 && starts.size() < 2000);
+  LONGS_EQUAL(0, Count(DecisionKind::kJobEnded));
+  LONGS_EQUAL(1, Count(DecisionKind::kOccurrencesWait));
+}
+
+// Guards against occurrences that wait for others although those have ended.
+TEST(DispatcherRowLimits, OverdueOccurrencesFollowThoseThatHaveEnded) {
+  constexpr int kRepetitions = 3000;
+  AddBackend("b1");
+  StoredJob job = OverdueSchedule(kRepetitions);
+  job.spec.steps.resize(1);
+  dispatcher->AddJob(job, std::nullopt, false, Now());
+  std::set<int> occurrences;
+  std::size_t ended_starts = 0;
+  for (int n = 0; n < 100; ++n) {
+    Advance(100);
+    for (; ended_starts < starts.size(); ++ended_starts) {
+      CHECK(occurrences.insert(starts[ended_starts].task.occurrence).second);
+      EndRun(starts[ended_starts], RunEnd::kDone);
+    }
+  }
+  LONGS_EQUAL(kRepetitions, occurrences.size());
+  LONGS_EQUAL(1, Count(DecisionKind::kJobEnded));
+}
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -166,6 +166,10 @@
        "The table service rejected a write of the owner for good; for a second only the ownership "
        "and the start horizon are written.",
        "Compare the rows that are named with the limits of the table service."},
+      {Event::kOccurrencesWait, kWarning, "occurrences-wait",
+       "As many occurrences of a job are open as its progress has room for; further ones that are "
+       "due wait until one of them has ended.",
+       "If it lasts, add backend servers to the pool, or submit the job with a longer interval."},
       {Event::kTaskStarted, kInfo, "task-started", "A run of a task was ordered.", kNone},
       {Event::kTaskEnded, kInfo, "task-ended", "A backend server reported the end of a run.",
        kNone},
