List finished occurrences as long as the list fits into a row

Now the row is the older one, a list, as long as it fits into a row, and ranges above, where an older version could write nothing at all.

--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -42,9 +42,10 @@
   // its tasks has failed.
   [[nodiscard]] static std::size_t MaxOccurrenceBytes(const WorkSpec& spec);
 
-  // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence, and up to
-  // 20 bytes for each gap between finished occurrences.
-  [[nodiscard]] std::string Encode() const;
+  // Compact JSON for a table row; about 5 kB for each 20,000 tasks of an open occurrence. Finished
+  // occurrences are listed, as older versions read them, if the row has no more than `max_bytes`
+  // then; else they are ranges, of up to 20 bytes for each gap between them.
+  [[nodiscard]] std::string Encode(std::size_t max_bytes = kMaxRowBytes) const;
   // Errors: kInvalidArgument for any text that Encode does not produce.
   [[nodiscard]] static Result<JobProgress> Decode(std::string_view text);
 
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -284,13 +284,13 @@
       continue;
     }
     JobEntry& job = *it->second;
-    ProgressWrite write{id, job.progress.Encode()};
+    ProgressWrite write{id, job.progress.Encode(impl_->settings.max_row_bytes)};
     if (write.value.size() > impl_->settings.max_row_bytes) {
       write.oversize = write.value.size();
       impl_->EndJob(job, JobOutcome::kFailed,
                     "its progress takes " + std::to_string(write.oversize) + " bytes, " +
                         std::to_string(impl_->settings.max_row_bytes) + " can be stored");
-      write.value = job.progress.Encode();
+      write.value = job.progress.Encode(impl_->settings.max_row_bytes);
     }
     const bool fits = bytes + write.value.size() <= max_bytes;
     if (!writes.empty() && !fits && write.oversize == 0) break;
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -6,8 +6,8 @@
 namespace sapphirewheel {
 namespace {
 
-// The part of a progress row, as a divisor, that open occurrences may take; the rest is for lists
-// of few finished occurrences and for failed runs.
+// The part of a progress row, as a divisor, that open occurrences may take; the rest is for failed
+// runs.
 constexpr std::size_t kOpenPartOfRow = 2;
 
 // Describes the size of a job briefly, for the log.
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "sapphirewheel/state/json.h"
@@ -19,9 +20,6 @@
 // Above this number of done or failed tasks a row has them as bitmaps, so that it stays below the
 // size of a row of the table service for the largest job.
 constexpr std::size_t kMaxListedTasks = 1000;
-// Above this number of finished occurrences a row has them as ranges. Older versions read only the
-// list.
-constexpr std::size_t kMaxListedOccurrences = 2000;
 constexpr int kBitsPerDigit = 4;
 // Largest index in a bitmap, against malformed rows.
 constexpr std::size_t kMaxDigits = 25'000;
@@ -93,6 +91,22 @@
   return numbers.size() >= min_size ? numbers : std::vector<std::int64_t>{};
 }
 
+// Size of the list of finished occurrences in a row, in bytes.
+std::size_t ListBytes(const boost::icl::interval_set<int>& finished) {
+  std::size_t bytes = std::string_view(R"(,"finished":[])").size();
+  for (const auto& range : finished) {
+    const std::int64_t first = boost::icl::first(range);
+    const std::int64_t last = boost::icl::last(range);
+    // A digit and a comma each, and a further digit from each power of ten on.
+    bytes += 2 * static_cast<std::size_t>(last - first + 1);
+    constexpr std::int64_t kBase = 10;
+    for (std::int64_t power = kBase; power <= last; power *= kBase) {
+      bytes += static_cast<std::size_t>(last - std::max(first, power) + 1);
+    }
+  }
+  return bytes;
+}
+
 // Adds the occurrences of a range, [first, last]. Returns whether it is one that Encode produces.
 bool AddRange(const json::value& value, boost::icl::interval_set<int>& occurrences) {
   const auto numbers = Numbers(value, 2);
@@ -187,7 +201,7 @@
   return failures;
 }
 
-std::string JobProgress::Encode() const {
+std::string JobProgress::Encode(std::size_t max_bytes) const {
   json::object row;
   row["outcome"] = static_cast<int>(outcome);
   // Nothing of an ended job is started any more.
@@ -215,15 +229,18 @@
     failures.emplace_back(std::move(entry));
   }
   if (!failures.empty()) row["failures"] = std::move(failures);
-  if (finished_.size() > kMaxListedOccurrences) {
+  const std::string text = json::serialize(row);
+  if (finished_.empty()) return text;
+  // Older versions read only the list.
+  if (text.size() + ListBytes(finished_) <= max_bytes) {
+    row["finished"] =
+        json::array(boost::icl::elements_begin(finished_), boost::icl::elements_end(finished_));
+  } else {
     json::array ranges;
     for (const auto& range : finished_) {
       ranges.emplace_back(json::array{boost::icl::first(range), boost::icl::last(range)});
     }
     row["finished_ranges"] = std::move(ranges);
-  } else if (!finished_.empty()) {
-    row["finished"] =
-        json::array(boost::icl::elements_begin(finished_), boost::icl::elements_end(finished_));
   }
   return json::serialize(row);
 }
--- a/coordination/tests/job_progress_test.cc
+++ b/coordination/tests/job_progress_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "CppUTest/TestHarness.h"
 
@@ -93,11 +94,16 @@
 }
 
 // Guards against occurrences that run again during a change of version: older versions read a list
-// of numbers only.
-TEST(JobProgress, RowsOfFewFinishedOccurrencesAreThoseOfOlderVersions) {
+// of numbers only, and can keep one as long as it fits into a row.
+TEST(JobProgress, FinishedOccurrencesAreAListAsLongAsItFits) {
   JobProgress progress;
   for (const int n : {0, 1, 2, 7}) progress.FinishOccurrence(n);
-  STRCMP_EQUAL(R"({"outcome":0,"finished":[0,1,2,7]})", progress.Encode().c_str());
+  constexpr const char* kList = R"({"outcome":0,"finished":[0,1,2,7]})";
+  STRCMP_EQUAL(kList, progress.Encode().c_str());
+  constexpr std::size_t kFits = std::string_view(kList).size() + 1;
+  STRCMP_EQUAL(kList, progress.Encode(kFits).c_str());
+  STRCMP_EQUAL(R"({"outcome":0,"finished_ranges":[[0,2],[7,7]]})",
+               progress.Encode(kFits - 1).c_str());
 }
 
 TEST(JobProgress, ReadsLongListsOfOlderVersions) {
@@ -108,7 +114,11 @@
   CHECK(progress.has_value());
   LONGS_EQUAL(kFinished, progress.value().FinishedCount());
   CHECK(progress.value().IsFinished(kFinished - 1));
-  STRCMP_EQUAL(R"({"outcome":0,"finished_ranges":[[0,11999]]})", progress.value().Encode().c_str());
+  STRCMP_EQUAL(row.c_str(), progress.value().Encode().c_str());
+  // With twice as many, the list does not fit into a row.
+  JobProgress longer = progress.value();
+  for (int n = kFinished; n < 2 * kFinished; ++n) longer.FinishOccurrence(n);
+  STRCMP_EQUAL(R"({"outcome":0,"finished_ranges":[[0,23999]]})", longer.Encode().c_str());
 }
 
 // The bound that the number of open occurrences is derived from.
