Let a successor find run numbers above those of earlier owners

Cause: each owner numbers its runs from (token - 1) x 1,000 + 1, so more than 1,000 runs of a task use numbers of the successor, whose first ones are then refused as too low. It took no note of the numbers that servers list, tried one number after the other, and waited for a list of the server each time; a poll that waits for an end gets none for 0.8 s. Refused starts were not logged.

Evidence: by the log run 1016 was listed as ended on i-2 at 54.185, and the successor ordered runs 1001 to 1016 on i-1 from 54.208 on, 0.89 s apart.

Fix: numbers of listed runs and ends count, also those of copies. A job whose tasks leave the range of their owner reserves numbers in its progress, and a successor begins above them. What is left out doubles with each refusal, and the list after a refusal is asked for at once, beside the poll in flight; it is still awaited, as a refusal can mean that another run of the task is there. Ranges stay as they are: larger ones would leave an older version, as a successor, with numbers that all tasks refuse. Event 825 shows refused starts.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -99,6 +99,8 @@
       return Event::kBackendGone;
     case DecisionKind::kBackendDraining:
       return Event::kBackendDraining;
+    case DecisionKind::kStartRefused:
+      return Event::kStartRefused;
     case DecisionKind::kInterference:
       return Event::kInterferenceLearned;
     case DecisionKind::kFenced:
--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -85,7 +85,8 @@
   kDone,
   // The backend server has seen a higher fencing token.
   kFenced,
-  // The run was stopped there or has already ended.
+  // The number of the run is not above those of runs that were stopped there or have ended, or
+  // another run of the task is there.
   kStaleRun,
   // The lease in the order had already expired.
   kLeaseExpired,
@@ -121,6 +122,7 @@
   kJobEnded,
   kOccurrencesWait,
   kTaskStarted,
+  kStartRefused,
   kTaskEnded,
   kTaskLost,
   kTaskStopped,
--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -21,6 +21,9 @@
 class JobProgress {
  public:
   JobOutcome outcome = JobOutcome::kOpen;
+  // Runs of the job's tasks may have numbers up to this one; 0 if none has left the range of the
+  // owner that started it.
+  RunNumber reserved_runs;
 
   // Returns false if the task was already marked done.
   bool MarkDone(const TaskKey& task);
--- a/coordination/src/dispatcher_backends.cc
+++ b/coordination/src/dispatcher_backends.cc
@@ -15,6 +15,32 @@
 constexpr Millis kRefusedPenalty{300};
 constexpr Millis kMalformedDelay{2000};
 
+// Why a backend server refused a start; null if it did not.
+const char* RefusalName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kFenced:
+      return "higher fencing token";
+    case OrderOutcome::kStaleRun:
+      return "run number too low";
+    case OrderOutcome::kLeaseExpired:
+      return "lease has ended";
+    case OrderOutcome::kNoRoom:
+      return "no room";
+    case OrderOutcome::kTicketRefused:
+      return "ticket";
+    case OrderOutcome::kMalformed:
+      return "malformed";
+    case OrderOutcome::kBusy:
+      return "busy";
+    case OrderOutcome::kDone:
+    case OrderOutcome::kWrongIncarnation:
+    case OrderOutcome::kNotSent:
+    case OrderOutcome::kUnknown:
+      return nullptr;
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 BackendEntry* Dispatcher::Impl::FindBackend(const BackendId& id) {
@@ -163,9 +189,14 @@
   const bool starting = task.phase == TaskPhase::kStarting;
   if (!starting) return;
   task.order_in_flight = false;
+  if (const char* why = RefusalName(reply.outcome)) {
+    impl_->Report(DecisionKind::kStartRefused, order.task.job, order.task.str(), order.backend,
+                  order.run, why);
+  }
   switch (reply.outcome) {
     case OrderOutcome::kDone:
       task.phase = TaskPhase::kRunning;
+      ref.step->tasks[ref.index].numbers_to_skip = 0;
       if (Impl::IsMeasurable(ref, *backend)) task.measured_from = now;
       ref.job->any_started = true;
       task.confirmed_at = task.last_progress = now;
@@ -180,8 +211,11 @@
       impl_->RecordMissingReply(*backend);
       break;
     case OrderOutcome::kStaleRun:
-      // The run ended before this reply; the next poll shows how.
+      // The run ended before this reply, or an earlier owner has used a higher number. The next
+      // list shows which, and is read at once.
       ref.job->any_started = true;
+      if (!task.may_be_running) Impl::SkipUsedNumbers(ref);
+      backend->list_wanted = true;
       task.phase = TaskPhase::kStopping;
       task.stop_confirmed = true;
       task.confirmed_at = now;
--- a/coordination/src/dispatcher_copies.cc
+++ b/coordination/src/dispatcher_copies.cc
@@ -182,12 +182,11 @@
 
 void Dispatcher::Impl::StartCopy(const TaskKey& key, const TaskRef& ref, BackendEntry& backend) {
   TaskState& task = *ref.task;
-  const RunNumber run = NextRun(task);
+  const RunNumber run = NextRun(*ref.job, task);
   Report(DecisionKind::kCopyStarted, key.job, key.str(), backend.report.id, run,
          "run " + std::to_string(task.run.count()) + " on " + task.backend->report.id.str() +
              " has lasted " + std::to_string((now_ - task.confirmed_at).count()) + " ms, usual " +
              std::to_string(ExpectedDuration(*ref.spec).count()) + " ms");
-  task.highest_run = run;
   const TaskRef copy = AddCopy(ref);
   copy_policy.RecordStart();
   StartTask(key, copy, backend, run);
--- a/coordination/src/dispatcher_entries.h
+++ b/coordination/src/dispatcher_entries.h
@@ -39,6 +39,8 @@
   // The present run, or the last one if none is present.
   RunNumber run;
   RunNumber highest_run;
+  // How many numbers to leave out if the next run is refused because its number is too low.
+  std::int64_t numbers_to_skip = 0;
   // Set while the task reserves capacity on a backend server.
   BackendEntry* backend = nullptr;
   std::string checkpoint;
@@ -137,6 +139,8 @@
   // The job's queue in the present configuration; null if there is none.
   const QueuePolicy* queue = nullptr;
   JobProgress progress;
+  // Earlier owners may have used run numbers up to this one.
+  RunNumber inherited_runs;
   std::map<int, OccurrenceState> open;
   // Some of the open occurrences are finished.
   bool has_finished_open = false;
@@ -244,6 +248,8 @@
   // When a poll without a reply is repeated; each is repeated once.
   std::optional<MonotonicTime> repeat_poll_at;
   MonotonicTime next_poll;
+  // A list of its runs is needed at once, also if a poll in flight waits for an end.
+  bool list_wanted = false;
   MonotonicTime last_reply;
   // When its list of runs was last received.
   MonotonicTime last_list;
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -90,7 +90,10 @@
   job.queue = config ? config->FindQueue(job.stored.queue) : nullptr;
   job.inherited = inherited;
   newest_job = std::max(newest_job, job.stored.revision);
-  if (progress) job.progress = *progress;
+  if (progress) {
+    job.progress = *progress;
+    job.inherited_runs = progress->reserved_runs;
+  }
   const JobId id = job.stored.id;
   jobs[id] = std::move(owned);
   if (!job.IsOpen()) {
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "dispatcher_state.h"
 
@@ -92,13 +93,16 @@
     // It was not silent before.
     backend.last_reply = now_;
   }
-  if (backend.HasRuns() && backend.has_replied && !backend.failing && !repeated) {
+  const bool at_once = std::exchange(backend.list_wanted, false);
+  if (backend.HasRuns() && backend.has_replied && !backend.failing && !repeated && !at_once) {
     order.wait = IsStartingUp(backend) ? kStartupPollWait : settings.poll_wait;
   }
   order.sequence = ++backend.last_poll_sent;
   backend.poll_in_flight = true;
   backend.repeat_poll_at.reset();
-  if (!repeated && !backend.failing) backend.repeat_poll_at = now_ + order.wait + kPollOverdue;
+  if ((!repeated || at_once) && !backend.failing) {
+    backend.repeat_poll_at = now_ + order.wait + kPollOverdue;
+  }
   hooks.poll(order);
 }
 
@@ -112,7 +116,8 @@
     open.all += it.poll_in_flight ? 1 : 0;
     open.contacts += it.poll_in_flight && !it.has_replied ? 1 : 0;
     const bool overdue = it.poll_in_flight && it.repeat_poll_at && now_ >= *it.repeat_poll_at;
-    if (!overdue && (it.poll_in_flight || now_ < it.next_poll)) continue;
+    const bool at_once = overdue || it.list_wanted;
+    if (!at_once && (it.poll_in_flight || now_ < it.next_poll)) continue;
     if (!it.registered && !it.HasRuns() && it.ends_ack_sent >= it.ends_acknowledged) continue;
     const bool due = it.HasRuns() || !it.has_replied || it.failing ||
                      it.ends_acknowledged > it.ends_ack_sent ||
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -15,6 +15,13 @@
 // Maximum number of backend servers in one advice call, which takes time for each.
 constexpr std::size_t kAdvicePerCall = 30;
 
+// Run numbers are written as JSON numbers, which are exact up to this one.
+constexpr std::int64_t kMaxRunNumber = std::int64_t{1} << 53;
+// How many numbers a job reserves at a time, and how many are left when it reserves further ones,
+// so that they are written before they are used.
+constexpr std::int64_t kReservedRuns = 100;
+constexpr std::int64_t kReserveAhead = 50;
+
 bool IsWithin(std::int64_t use, std::int64_t limit) { return limit == 0 || use <= limit; }
 
 }  // namespace
@@ -59,9 +66,33 @@
   return runs_known || task.located;
 }
 
-RunNumber Dispatcher::Impl::NextRun(const TaskState& task) const {
+RunNumber Dispatcher::Impl::NextRun(const JobEntry& job, const TaskState& task) const {
   const auto base = (static_cast<std::int64_t>(settings.token.count()) - 1) * kRunNumbersPerOwner;
-  return RunNumber(std::max(task.highest_run.count(), base) + 1);
+  const RunNumber used = std::max({task.highest_run, job.inherited_runs, RunNumber(base)});
+  return RunNumber(std::min(used.count(), kMaxRunNumber - 1) + 1);
+}
+
+void Dispatcher::Impl::ReserveRuns(JobEntry& job, RunNumber run) {
+  const RunNumber range_end(static_cast<std::int64_t>(settings.token.count()) *
+                            kRunNumbersPerOwner);
+  const RunNumber left_out = std::max(range_end, job.progress.reserved_runs);
+  if (run.count() + kReserveAhead <= left_out.count()) return;
+  job.progress.reserved_runs = RunNumber(run.count() + kReservedRuns);
+  MarkDirty(job);
+}
+
+void Dispatcher::Impl::RecordRunNumber(const TaskRef& ref, RunNumber run) {
+  ref.task->highest_run = std::max(ref.task->highest_run, run);
+  TaskState& original = ref.step->tasks[ref.index];
+  original.highest_run = std::max(original.highest_run, run);
+}
+
+void Dispatcher::Impl::SkipUsedNumbers(const TaskRef& ref) {
+  // Limits how far repeated refusals, for whatever reason, take the numbers.
+  constexpr std::int64_t kMaxSkip = 1'000'000;
+  std::int64_t& skip = ref.step->tasks[ref.index].numbers_to_skip;
+  RecordRunNumber(ref, RunNumber(ref.task->run.count() + skip));
+  skip = std::clamp<std::int64_t>(2 * skip, 1, kMaxSkip);
 }
 
 void Dispatcher::Impl::StartTask(const TaskKey& key, const TaskRef& ref, BackendEntry& backend,
@@ -73,7 +104,8 @@
   UpdateFree(backend, free_cpu);
   task.phase = TaskPhase::kStarting;
   task.run = run;
-  task.highest_run = run;
+  RecordRunNumber(ref, run);
+  ReserveRuns(*ref.job, run);
   task.ordered_at = now_;
   task.lease_until = NewLeaseEnd(backend);
   task.located = true;
@@ -177,7 +209,7 @@
       if (spec.long_running && !WillHaveRoom(queue->pool, spec)) ++steps_without_room[queue->pool];
       return;
     }
-    StartTask(key, Find(key), *backend, NextRun(task));
+    StartTask(key, Find(key), *backend, NextRun(job, task));
   }
 }
 
@@ -214,7 +246,7 @@
   for (const TaskState& it : step.tasks) {
     if (!MayStart(it, runs_known)) return;
     sum += spec.per_task;
-    run = std::max(run, NextRun(it));
+    run = std::max(run, NextRun(job, it));
     if (it.checkpoint > checkpoint) checkpoint = it.checkpoint;
   }
   if (!IsWithinLimit(job.stored.team, sum)) return;
--- a/coordination/src/dispatcher_runs.cc
+++ b/coordination/src/dispatcher_runs.cc
@@ -35,6 +35,7 @@
   const TaskRef ref = RunOn(FindStarted(end.task), backend);
   if (!ref) return;
   ref.job->any_started = true;
+  RecordRunNumber(ref, end.run);
   TaskState& task = *ref.task;
   const bool current = task.backend == &backend && task.run == end.run;
   if (current && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
@@ -117,7 +118,10 @@
 
 void Dispatcher::Impl::HandleRunning(BackendEntry& backend, const ListedRun& row) {
   const TaskRef ref = RunOn(FindStarted(row.task), backend);
-  if (ref) ref.job->any_started = true;
+  if (ref) {
+    ref.job->any_started = true;
+    RecordRunNumber(ref, row.run);
+  }
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
@@ -165,7 +169,7 @@
   ExtendLease(backend);
   task.phase = TaskPhase::kRunning;
   task.run = row.run;
-  task.highest_run = std::max(task.highest_run, row.run);
+  RecordRunNumber(ref, row.run);
   task.ordered_at = task.last_progress = task.confirmed_at = now_;
   task.located = true;
   task.adopted_at = now_;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -29,7 +29,8 @@
 constexpr Millis kOrderDelivery{900};
 // An order without a reply may be carried out up to this much later.
 constexpr Millis kMaxOrderDelay{13'000};
-// Size of the range of run numbers of each owner, so that they are above those of earlier owners.
+// Size of the range of run numbers of each owner, so that they are above those of earlier owners. A
+// job whose tasks need more reserves them in its progress.
 constexpr std::int64_t kRunNumbersPerOwner = 1000;
 // Time for which a penalized backend server gets work only if no other one has capacity.
 constexpr Millis kPenaltyTime{5000};
@@ -399,7 +400,13 @@
   // Updates unknown_pools and inherited_use, for one placement round.
   void UpdateInherited();
   void StartTask(const TaskKey& key, const TaskRef& ref, BackendEntry& backend, RunNumber run);
-  [[nodiscard]] RunNumber NextRun(const TaskState& task) const;
+  [[nodiscard]] RunNumber NextRun(const JobEntry& job, const TaskState& task) const;
+  // Reserves further numbers if those that a successor leaves out are nearly used up.
+  void ReserveRuns(JobEntry& job, RunNumber run);
+  // A run of the task is known to have had this number, which it or its copy must not have again.
+  static void RecordRunNumber(const TaskRef& ref, RunNumber run);
+  // The number of the present run is not above one that its backend server has seen.
+  static void SkipUsedNumbers(const TaskRef& ref);
 
   void Report(DecisionKind kind, const JobId& job, const std::string& task,
               const BackendId& backend, RunNumber run, std::string detail) const {
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -206,6 +206,7 @@
   row["outcome"] = static_cast<int>(outcome);
   // Nothing of an ended job is started any more.
   if (outcome != JobOutcome::kOpen) return json::serialize(row);
+  if (reserved_runs > RunNumber()) row["reserved_runs"] = reserved_runs.count();
   std::size_t tasks = failures_.size();
   for (const auto& [step, indices] : done_) tasks += indices.size();
   const bool compact = tasks > kMaxListedTasks;
@@ -253,6 +254,7 @@
     return Malformed("outcome");
   }
   progress.outcome = kOutcomes[number];
+  progress.reserved_runs = RunNumber(std::max<std::int64_t>(IntField(row, "reserved_runs"), 0));
   if (const auto* done = row.if_contains("done"); done != nullptr && done->is_array()) {
     for (const json::value& entry : done->get_array()) {
       if (auto bitmap = DecodeBitmapEntry(entry, 2); bitmap && bitmap->numbers.size() == 2) {
--- a/coordination/tests/dispatcher_fixture.h
+++ b/coordination/tests/dispatcher_fixture.h
@@ -49,10 +49,14 @@
   std::vector<PaceOrder> paces;
   std::vector<Decision> decisions;
   std::set<BackendId> silent;
+  // Highest run numbers that backend servers have seen of any task; starts up to them are refused.
+  std::map<BackendId, RunNumber> numbers_seen;
   // Start time of the present incarnation of all backend servers, and the number of its next end.
   std::int64_t started_at = 1;
   std::int64_t next_end = 1;
   std::size_t written = 0;
+  // Highest run number that was reserved in a written row.
+  RunNumber reserved;
   std::size_t largest_row = 0;
   bool defer_under_overload = true;
   Millis max_lease{10'000};
@@ -155,6 +159,9 @@
       for (const ProgressWrite& it : dispatcher->TakeWrites(kBatch, kBatchBytes)) {
         ++written;
         largest_row = std::max(largest_row, it.value.size());
+        if (const auto progress = JobProgress::Decode(it.value)) {
+          reserved = std::max(reserved, progress.value().reserved_runs);
+        }
       }
       dispatcher->WritesDone(true);
       const std::size_t before = starts.size();
@@ -168,6 +175,11 @@
 
   void Confirm(const StartOrder& order) {
     if (silent.count(order.backend) > 0) return;
+    if (const auto it = numbers_seen.find(order.backend);
+        it != numbers_seen.end() && order.run <= it->second) {
+      dispatcher->OnStart(order, {OrderOutcome::kStaleRun, BackendClock(now_ms)}, Now());
+      return;
+    }
     running[order.backend].push_back({order.task, order.run, "", 100, 0});
     dispatcher->OnStart(order, {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
   }
--- a/coordination/tests/job_progress_test.cc
+++ b/coordination/tests/job_progress_test.cc
@@ -106,6 +106,19 @@
                progress.Encode(kFits - 1).c_str());
 }
 
+// Older versions ignore the member, and their rows are without it.
+TEST(JobProgress, KeepsReservedRunNumbers) {
+  JobProgress progress;
+  progress.reserved_runs = RunNumber(2016);
+  STRCMP_EQUAL(R"({"outcome":0,"reserved_runs":2016})", progress.Encode().c_str());
+  const auto again = JobProgress::Decode(progress.Encode());
+  CHECK(again.has_value());
+  LONGS_EQUAL(2016, again.value().reserved_runs.count());
+  const auto older = JobProgress::Decode(R"({"outcome":0,"done":[[0,1,2]]})");
+  CHECK(older.has_value());
+  LONGS_EQUAL(0, older.value().reserved_runs.count());
+}
+
 TEST(JobProgress, ReadsLongListsOfOlderVersions) {
   constexpr int kFinished = 12'000;
   std::string row = R"({"outcome":0,"finished":[)";
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -76,6 +76,7 @@
   kJobUnreadable = 822,
   kRowTooLarge = 823,
   kWriteRejected = 824,
+  kStartRefused = 825,
   kOccurrencesWait = 826,
   kTaskStarted = 830,
   kTaskEnded = 831,
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -166,6 +166,8 @@
        "The table service rejected a write of the owner for good; for a second only the ownership "
        "and the start horizon are written.",
        "Compare the rows that are named with the limits of the table service."},
+      {Event::kStartRefused, kInfo, "start-refused", "A backend server refused to start a run.",
+       kNone},
       {Event::kOccurrencesWait, kWarning, "occurrences-wait",
        "As many occurrences of a job are open as its progress has room for; further ones that are "
        "due wait until one of them has ended.",
