Compare failed runs with the limit of attempts before each start

The route was removed during the second run, which failed; when it was back, the task was started a third time.

Cause: failures were compared with the limit only when a run failed, and only while the job's queue had a route. Neither the return of a route, nor a lowered limit, nor a new owner compared them again.

Fix: before a placement round, jobs with a waiting task that has no attempts left by the present configuration end as failed. A run that is under way when the limit is lowered may still be done.

Red before, with the tests of this commit on: DispatcherRoutes, ATaskWithoutAttemptsLeftDoesNotStartWhenItsRouteIsBack expected 2 starts, was 3 DispatcherRoutes, ALowerLimitOfAttemptsCountsForTheNextStart DispatcherRoutes, ANewOwnerDoesNotStartATaskWithoutAttemptsLeft

--- a/coordination/include/sapphirewheel/coordination/job_progress.h
+++ b/coordination/include/sapphirewheel/coordination/job_progress.h
@@ -33,6 +33,8 @@
   // Counts a failed run once, however often it is reported. Returns the number of failed runs.
   int CountFailure(const TaskKey& task, RunNumber run);
   [[nodiscard]] int FailureCount(const TaskKey& task) const;
+  // The tasks that have failed at least this often; a gang is named by its first member.
+  [[nodiscard]] std::vector<TaskKey> TasksWithFailures(const JobId& job, int runs) const;
 
   // Replaces the marks of an occurrence's tasks by one mark for the whole occurrence.
   void FinishOccurrence(int occurrence);
--- a/coordination/src/dispatcher_jobs.cc
+++ b/coordination/src/dispatcher_jobs.cc
@@ -247,6 +247,23 @@
          std::string(OutcomeName(outcome)) + ": " + why);
 }
 
+void Dispatcher::Impl::FailJobsWithoutAttempts() {
+  std::vector<std::pair<JobEntry*, TaskKey>> failed;
+  for (JobEntry* job : open_jobs) {
+    if (job->queue == nullptr) continue;
+    const auto tasks = job->progress.TasksWithFailures(job->stored.id, job->queue->attempts);
+    const auto waiting = std::find_if(tasks.begin(), tasks.end(), [this](const TaskKey& it) {
+      const TaskRef ref = Find(it);
+      return ref && ref.task->phase == TaskPhase::kWaiting;
+    });
+    if (waiting != tasks.end()) failed.emplace_back(job, *waiting);
+  }
+  for (const auto& [job, task] : failed) {
+    EndJob(*job, JobOutcome::kFailed,
+           task.str() + " has failed " + std::to_string(job->queue->attempts) + " times");
+  }
+}
+
 void Dispatcher::Impl::CloseOpenTasks(JobEntry& job) {
   for (auto& [number, occurrence] : job.open) {
     for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
--- a/coordination/src/dispatcher_placement.cc
+++ b/coordination/src/dispatcher_placement.cc
@@ -158,6 +158,7 @@
 void Dispatcher::Impl::Place() {
   if (!config) return;
   pool_servers_valid = false;
+  FailJobsWithoutAttempts();
   ReleaseUnneededPromises();
   UpdateInherited();
   std::vector<Candidate> candidates;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -76,6 +76,9 @@
   void UpdateReady(JobEntry& job, OccurrenceState& occurrence);
   void FinishStepIfDone(JobEntry& job, OccurrenceState& occurrence);
   void EndJob(JobEntry& job, JobOutcome outcome, const std::string& why);
+  // Ends the jobs with a task that waits and has no attempts left by the present configuration,
+  // which need not be the one in which the task failed.
+  void FailJobsWithoutAttempts();
   void CloseOpenTasks(JobEntry& job);
   void MarkDirty(JobEntry& job);
   TaskRef Find(const TaskKey& key);
--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -163,6 +163,16 @@
   return it == failures_.end() ? 0 : static_cast<int>(it->second.size());
 }
 
+std::vector<TaskKey> JobProgress::TasksWithFailures(const JobId& job, int runs) const {
+  std::vector<TaskKey> tasks;
+  for (const auto& [task, failed_runs] : failures_) {
+    const auto& [occurrence, step, index] = task;
+    const bool enough = static_cast<int>(failed_runs.size()) >= runs;
+    if (enough) tasks.push_back(TaskKey{job, occurrence, step, index});
+  }
+  return tasks;
+}
+
 void JobProgress::FinishOccurrence(int occurrence) {
   finished_.add(occurrence);
   std::erase_if(done_, [&](const auto& row) { return row.first.first == occurrence; });
--- a/coordination/tests/dispatcher_routes_test.cc
+++ b/coordination/tests/dispatcher_routes_test.cc
@@ -12,13 +12,13 @@
   const PoolId present{"p2"};
 
   // An empty pool removes the queue.
-  void SetPool(const PoolId& pool) {
+  void SetPool(const PoolId& pool, int attempts = 2) {
     auto config = std::make_shared<DispatchConfig>();
     config->pools = {{former, false, false}, {present, false, false}};
     QueuePolicy policy;
     policy.id = queue;
     policy.pool = pool;
-    policy.attempts = 2;
+    policy.attempts = attempts;
     if (!pool.empty()) config->queues = {policy};
     policy.id = QueueId("q2");
     policy.pool = present;
@@ -27,6 +27,18 @@
     dispatcher->SetConfig(config);
   }
 
+  // Fails the last run that was started, and waits until the task could start again.
+  void FailLastRun() {
+    EndRun(starts.back(), RunEnd::kFailed);
+    Advance(1000);
+  }
+
+  bool HasEnded(const char* job) const {
+    return std::any_of(decisions.begin(), decisions.end(), [&](const Decision& it) {
+      return it.kind == DecisionKind::kJobEnded && it.job == JobId(job);
+    });
+  }
+
   QueueRoutes Routes(const std::vector<PoolId>& pools) {
     QueueRoutes routes;
     for (const PoolId& it : pools) routes.Add(queue, it);
@@ -236,3 +248,56 @@
   LONGS_EQUAL(2, starts.size());
   CHECK(starts[1].backend == BackendId("b3"));
 }
+
+// Guards against a start after the last attempt: the last run failed while the queue had no route,
+// and its failures were not compared with the limit again when the route was back.
+TEST(DispatcherRoutes, ATaskWithoutAttemptsLeftDoesNotStartWhenItsRouteIsBack) {
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(200);
+  FailLastRun();
+  LONGS_EQUAL(2, starts.size());
+  SetPool(PoolId());
+  FailLastRun();
+  CHECK_FALSE(HasEnded("j1"));
+  SetPool(former);
+  Advance(2000);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(HasEnded("j1"));
+}
+
+// Guards against the same after a limit was lowered to the number of failed runs. A run that is
+// under way may still be done.
+TEST(DispatcherRoutes, ALowerLimitOfAttemptsCountsForTheNextStart) {
+  SetPool(former, 3);
+  AddBackend("b1");
+  AddJob("j1", {Step(1, 1000)});
+  Advance(200);
+  FailLastRun();
+  FailLastRun();
+  LONGS_EQUAL(3, starts.size());
+  SetPool(former, 2);
+  Advance(2000);
+  CHECK_FALSE(HasEnded("j1"));
+  EndRun(starts.back(), RunEnd::kStopped);
+  Advance(2000);
+  LONGS_EQUAL(3, starts.size());
+  CHECK(HasEnded("j1"));
+}
+
+// Guards against the same in a new owner, whose configuration may be newer than the failures.
+TEST(DispatcherRoutes, ANewOwnerDoesNotStartATaskWithoutAttemptsLeft) {
+  MakeDispatcher(2);
+  AddBackend("b1");
+  JobProgress progress;
+  progress.CountFailure({JobId("j1"), 0, 0, 0}, RunNumber(1));
+  progress.CountFailure({JobId("j1"), 0, 0, 0}, RunNumber(2));
+  StoredJob job;
+  job.id = JobId("j1");
+  job.queue = queue;
+  job.spec.steps = {Step(1, 1000)};
+  dispatcher->AddJob(job, progress, true, Now());
+  Advance(2000);
+  LONGS_EQUAL(0, starts.size());
+  CHECK(HasEnded("j1"));
+}
