--- a/coordination/src/job_progress.cc
+++ b/coordination/src/job_progress.cc
@@ -240,7 +240,7 @@
     failures.emplace_back(std::move(entry));
   }
   if (!failures.empty()) row["failures"] = std::move(failures);
-  const std::string text = json::serialize(row);
+  std::string text = json::serialize(row);
   if (finished_.empty()) return text;
   // Older versions read only the list.
   if (text.size() + ListBytes(finished_) <= max_bytes) {
