Poll the feeds again when a call to the table service had no reply

Cause: the owner learns of cancels by the feed of jobs, and a poll of it that waits for a change counts as lost after 3.2 s only. The node knew earlier: its write on such a connection had no reply for 0.25 s, or the poll of the operators' rows for 1.5 s.

Fix: after either, polls of the owner's feeds that wait are given up and sent again without waiting, as after an outage. A poll that does not wait ends by its own limit of 1.3 s, so a slow service is not asked more often for it.

--- a/apps/daemon/src/deployed_daemon.cc
+++ b/apps/daemon/src/deployed_daemon.cc
@@ -157,6 +157,8 @@
       return Event::kRowTooLarge;
     case NodeEvent::kWriteRejected:
       return Event::kWriteRejected;
+    case NodeEvent::kWriteUnanswered:
+      return Event::kWriteUnanswered;
     case NodeEvent::kCallRefused:
       return Event::kCallRefused;
     case NodeEvent::kCallUnanswered:
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -82,6 +82,7 @@
   kJobUnreadable,
   kRowTooLarge,
   kWriteRejected,
+  kWriteUnanswered,
   kCallRefused,
   kCallUnanswered,
   kCallGone,
@@ -127,6 +128,9 @@
   // The data centres in which nothing is started; to be called with each confirmation.
   void SetEvacuations(const Evacuations& evacuations);
   void AddWave(const WaveOrder& order);
+  // A call of this node to the table service had no reply, so that all open connections to it may
+  // have gone silent. Polls that wait for a change are sent again.
+  void OnStoreSilent();
   void Tick(MonotonicTime now);
   // Releases the ownership once all pending progress has been written.
   void BeginRelease();
--- a/coordination/src/entry_node.cc
+++ b/coordination/src/entry_node.cc
@@ -72,6 +72,7 @@
       return;
     }
     if (!reached) {
+      if (owner) owner->OnStoreSilent();
       next_config_poll = ports.now() + kStoreRetryDelay;
       return;
     }
--- a/coordination/src/fleet_owner.cc
+++ b/coordination/src/fleet_owner.cc
@@ -334,6 +334,8 @@
   if (impl_->dispatcher) impl_->dispatcher->SetConfig(std::move(config));
 }
 
+void FleetOwner::OnStoreSilent() { impl_->DoubtFeeds(); }
+
 void FleetOwner::AddWave(const WaveOrder& order) {
   impl_->waves[order.number] = order;
   if (impl_->maintenance) {
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -303,23 +303,38 @@
   feed.in_flight = true;
   // Polls during an outage do not wait, so that one of them is answered soon after the end of it.
   const Millis wait = feed.reachable ? kFollowWait : Millis(0);
-  ports.store.Follow(feed.table, feed.after, wait, WhileInProgress(wait + kStoreTimeout),
-                     OnRows([this, &feed, handle_row, resync](const RowsReply& reply) {
-                       feed.in_flight = false;
-                       feed.next = ports.now() + feed.pause;
-                       feed.reachable = reply.outcome == StoreOutcome::kDone;
-                       if (reply.outcome == StoreOutcome::kHistoryGone) {
-                         resync();
-                         return;
-                       }
-                       if (reply.outcome != StoreOutcome::kDone) {
-                         feed.next = ports.now() + kStoreRetryDelay;
-                         return;
-                       }
-                       for (const StoredRow& row : reply.rows) handle_row(row);
-                       feed.after = std::max(feed.after, reply.newest);
-                       newest_seen = std::max(newest_seen, reply.newest);
-                     }));
+  feed.waiting = wait > Millis(0);
+  ports.store.Follow(
+      feed.table, feed.after, wait, WhileInProgress(wait + kStoreTimeout),
+      OnRows([this, &feed, handle_row, resync, number = ++feed.last_poll](const RowsReply& reply) {
+        if (number != feed.last_poll) return;
+        feed.in_flight = false;
+        feed.waiting = false;
+        feed.next = ports.now() + feed.pause;
+        feed.reachable = reply.outcome == StoreOutcome::kDone;
+        if (reply.outcome == StoreOutcome::kHistoryGone) {
+          resync();
+          return;
+        }
+        if (reply.outcome != StoreOutcome::kDone) {
+          feed.next = ports.now() + kStoreRetryDelay;
+          return;
+        }
+        for (const StoredRow& row : reply.rows) handle_row(row);
+        feed.after = std::max(feed.after, reply.newest);
+        newest_seen = std::max(newest_seen, reply.newest);
+      }));
+}
+
+void FleetOwner::Impl::DoubtFeeds() {
+  for (Feed* feed : {&jobs_feed, &registry_feed}) {
+    if (!feed->waiting) continue;
+    ++feed->last_poll;
+    feed->waiting = false;
+    feed->in_flight = false;
+    feed->reachable = false;
+    feed->next = ports.now();
+  }
 }
 
 // Reads a table again after its feed has lost its history. The feed continues from a revision
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -34,6 +34,10 @@
   bool in_flight = false;
   // The last poll had a reply.
   bool reachable = true;
+  // Number of the last poll. Replies to earlier ones, which were given up, are not used.
+  std::uint64_t last_poll = 0;
+  // It is in flight and waits for a change.
+  bool waiting = false;
 };
 
 // Calls a function when the last reference to the guard is released, that is when the last of
@@ -92,6 +96,8 @@
   void ApplyBackendRow(const StoredRow& row);
   void PollFeed(Feed& feed, const std::function<void(const StoredRow&)>& handle_row,
                 const std::function<void()>& resync);
+  // Gives up the polls that wait for a change.
+  void DoubtFeeds();
   void ResyncJobs();
   void ResyncRegistry();
 
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -179,7 +179,12 @@
                                    MonotonicTime sent) {
   committing = false;
   const bool done = reply.outcome == StoreOutcome::kDone;
-  if (reply.outcome == StoreOutcome::kUnknown) commit_uncertain = true;
+  if (reply.outcome == StoreOutcome::kUnknown) {
+    commit_uncertain = true;
+    ReportEvent(NodeEvent::kWriteUnanswered,
+                "for " + std::to_string((ports.now() - sent).count()) + " ms");
+    DoubtFeeds();
+  }
   if (done && renewed) commit_uncertain = false;
   if (dispatcher) dispatcher->WritesDone(done);
   next_commit = ports.now() + (done ? kCommitInterval : kStoreRetryDelay);
--- a/coordination/tests/fleet_schedule_test.cc
+++ b/coordination/tests/fleet_schedule_test.cc
@@ -32,6 +32,46 @@
   });
 }
 
+// Cancels a job of many tasks after the owner's open connections to the table service have gone
+// silent, a write being sent on one of them or not. Nothing may start later than `within` after the
+// reply to the cancel.
+void CancelOnSilentConnections(bool write_unanswered, std::int64_t within) {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 0;
+  FleetSim sim(settings);
+  sim.RunUntil(1500);
+  FleetSim::ClientJob& job = sim.jobs[JobId("00000000000000a1")];
+  job.id = JobId("00000000000000a1");
+  job.queue = sim.config.queues[0].id;
+  StepSpec step;
+  step.count = 2000;
+  step.per_task = {1000, 100, 0};
+  step.estimate = Millis(300);
+  job.spec.steps = {step};
+  StoredJob stored;
+  stored.queue = job.queue;
+  stored.spec = job.spec;
+  const CallerCall call{CallKind::kSubmit,       "host",      "/q0/" + job.id.str(), "",
+                        EncodeStoredJob(stored), Millis(3000)};
+  sim.nodes[0].entry->Handle(call, [&](const CallerReply&) { job.accepted = true; });
+  sim.RunUntil(4000);
+  CHECK(sim.starts > 0);
+  const int owner = sim.OwnerNode();
+  sim.SilenceStoreConnections(owner, write_unanswered);
+  // The cancel is sent to a random node, and its connection may be one of the silent ones.
+  while (!job.cancelled && sim.now() < 6000) {
+    sim.Cancel(job);
+    sim.RunUntil(sim.now() + 50);
+  }
+  CHECK(job.cancelled);
+  sim.RunUntil(*job.cancel_answered_at + within);
+  const int starts = sim.starts;
+  sim.RunUntil(sim.now() + 5000);
+  LONGS_EQUAL(starts, sim.starts);
+  LONGS_EQUAL(owner, sim.OwnerNode());
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
+
 // Kills all nodes of a fleet with links of 2 Mbit/s and waiting jobs with payloads of this size;
 // some node must have loaded them and started work within a time after that.
 void LoadOnSlowLinks(std::size_t payload_bytes, int waiting_jobs, int within_s, int jobs_per_tick) {
@@ -231,6 +271,18 @@
   for (const auto& it : sim.Unfinished()) FAIL(it.c_str());
 }
 
+// Guards against tasks of a cancelled job that start for as long as a poll of the feed of jobs is
+// given time: the owner's connections went silent, which its next write showed at once.
+TEST(FleetSchedule, ACancelIsSeenThoughTheConnectionOfTheFeedIsSilent) {
+  CancelOnSilentConnections(true, 1200);
+}
+
+// Guards against the same if no write was sent on a silent connection: the poll of the operators'
+// rows has no reply.
+TEST(FleetSchedule, ACancelIsSeenThoughOnlyPollsAreOnSilentConnections) {
+  CancelOnSilentConnections(false, 2000);
+}
+
 // Guards against marks of cancelled ids that stay in the store for good, and that are removed too
 // early.
 TEST(FleetSchedule, TheMarkOfACancelledIdLastsAsLongAsTheStateOfAnEndedJob) {
--- a/coordination/tests/fleet_sim.cc
+++ b/coordination/tests/fleet_sim.cc
@@ -129,6 +129,12 @@
   node.entry = std::make_unique<EntryNode>(settings, ports);
 }
 
+void FleetSim::SilenceStoreConnections(int node, bool write_unanswered) {
+  Trace(node, "its connections to the table service go silent");
+  nodes[node].store_silent_since = now_;
+  nodes[node].has_stale_connection = write_unanswered;
+}
+
 void FleetSim::KillNode(int n) { nodes[n].alive = false; }
 
 int FleetSim::OwnerNode() const {
--- a/coordination/tests/fleet_sim.h
+++ b/coordination/tests/fleet_sim.h
@@ -124,6 +124,10 @@
     bool alive = false;
     bool frozen = false;
     bool store_disconnected = false;
+    // When its open connections to the table service last went silent: calls sent before have no
+    // reply, nor has the first transaction after if it is sent on one of them.
+    std::int64_t store_silent_since = -1;
+    bool has_stale_connection = false;
     // When the last reply on the way to the node arrives, with a limited link.
     std::int64_t link_free_at = 0;
     int incarnation = 0;
@@ -172,6 +176,8 @@
   void SetFrozen(int n, bool frozen) { nodes[n].frozen = frozen; }
   [[nodiscard]] int OwnerNode() const;
   void SetStoreDown(bool down) { store_down_ = down; }
+  // The open connections of a node to the table service go silent, without a reset.
+  void SilenceStoreConnections(int node, bool write_unanswered);
   void DropHistory();
   // The next incarnation registers `unregistered_for` after it has started.
   void CrashBackend(const BackendId& id, std::int64_t down_for, bool same_id,
--- a/coordination/tests/fleet_sim_ports.h
+++ b/coordination/tests/fleet_sim_ports.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utility>
+
 #include "fleet_sim.h"
 
 namespace sapphirewheel::testing {
@@ -158,8 +160,8 @@
 
  private:
   void CommitNow(const RowTransaction& tx, Millis timeout, const RowsCallback& done) {
-    const bool reachable = Reachable();
-    if (!reachable) {
+    const bool stale = std::exchange(sim_.nodes[node_].has_stale_connection, false);
+    if (stale || !Reachable()) {
       // No reply; only the timeout is reported.
       Deliver(timeout.count(), RowsReply{}, done);
       return;
@@ -247,7 +249,9 @@
       const Millis waited(sim_.now_ - sent);
       const ReplyLimits left{limits.begin - waited, limits.silence, limits.total - waited};
       // A node that is disconnected while a feed waits gets no reply.
-      if (Reachable() && table == kOperatorTable && sim_.operator_transfer_time > 0)
+      if (sent <= sim_.nodes[node_].store_silent_since)
+        Deliver(left.begin.count(), RowsReply{}, done);
+      else if (Reachable() && table == kOperatorTable && sim_.operator_transfer_time > 0)
         Deliver(sim_.operator_transfer_time, reply, done);
       else if (Reachable())
         DeliverRows(2 + sim_.Draw(4), left, reply, done);
--- a/coordination/tests/row_limits_test.cc
+++ b/coordination/tests/row_limits_test.cc
@@ -60,6 +60,14 @@
   });
 }
 
+class RowLimitsFixture : public DispatcherFixture {
+ public:
+  std::int64_t Count(DecisionKind kind) const {
+    return std::count_if(decisions.begin(), decisions.end(),
+                         [&](const Decision& it) { return it.kind == kind; });
+  }
+};
+
 }  // namespace
 
 TEST_GROUP(RowLimits){};
@@ -106,16 +114,9 @@
   LONGS_EQUAL(1, sim.starts_of.size());
 }
 
-class RowLimitsFixture : public DispatcherFixture {
- public:
-  std::int64_t Count(DecisionKind kind) const {
-    return std::count_if(decisions.begin(), decisions.end(),
-                         [&](const Decision& it) { return it.kind == kind; });
-  }
-};
-
 TEST_GROUP_BASE(DispatcherRowLimits, RowLimitsFixture){};
 
+// Guards against a job whose progress is lost without its callers being told.
 TEST(DispatcherRowLimits, TheRowOfAJobThatDoesNotFitSaysThatItFailed) {
   max_row_bytes = 100;
   MakeDispatcher(1);
--- a/transport/include/sapphirewheel/transport/events.h
+++ b/transport/include/sapphirewheel/transport/events.h
@@ -78,6 +78,7 @@
   kWriteRejected = 824,
   kStartRefused = 825,
   kOccurrencesWait = 826,
+  kWriteUnanswered = 827,
   kTaskStarted = 830,
   kTaskEnded = 831,
   kTaskLost = 832,
--- a/transport/src/event_catalogue.cc
+++ b/transport/src/event_catalogue.cc
@@ -172,6 +172,10 @@
        "As many occurrences of a job are open as its progress has room for; further ones that are "
        "due wait until one of them has ended.",
        "If it lasts, add backend servers to the pool, or submit the job with a longer interval."},
+      {Event::kWriteUnanswered, kWarning, "write-unanswered",
+       "A write of the owner had no reply. It is repeated, and so are polls that wait for a "
+       "change.",
+       "If this repeats, check the table service and the network to it."},
       {Event::kTaskStarted, kInfo, "task-started", "A run of a task was ordered.", kNone},
       {Event::kTaskEnded, kInfo, "task-ended", "A backend server reported the end of a run.",
        kNone},
