Tell the successor of a planned stop when the runs of its owner end

Cause: a successor does not know which silent servers may have restarted under their ids and taken an order by the clock of their earlier incarnation, so it waits for the longest lease that servers accept, 11.6 s from the takeover. The owner that stopped did know: every start on these servers was confirmed, and without a start on the way no other incarnation can have runs.

With its release, an owner now writes the row hand-over: when its runs end and on which servers that is not certain. It counts runs as the owner itself does for a server that turns silent. Only the owner with the next fencing token believes the row. owner-loaded logs it.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -173,6 +173,16 @@
 };
 using Roster = std::map<BackendId, RosterEntry>;
 
+// What an owner that sends no more orders tells its successor of the runs that it has started.
+struct HandOver {
+  // Time by which the runs on all backend servers but `uncertain` have ended, unless the successor
+  // extends their leases.
+  MonotonicTime runs_end_by;
+  // Backend servers on which runs may last for longer: not every start is known to have reached the
+  // incarnation that it was meant for.
+  std::set<BackendId> uncertain;
+};
+
 // Places the tasks of all jobs on backend servers, as the only owner of a fleet. Handles the order
 // of starts, capacity, upper limits of teams, attempts, checkpoints, gangs, long-running tasks, the
 // leases of backend servers, and recovery of the runs that an earlier owner started. Not
@@ -241,7 +251,11 @@
 
   // Sets the backend servers to which an earlier owner may have given work; to be called before the
   // first tick. `taken_at` is when this owner took over; earlier owners sent no orders after it.
-  void SetRoster(const Roster& roster, MonotonicTime taken_at);
+  // `hand_over` is what the last owner told, if it ended as planned.
+  void SetRoster(const Roster& roster, MonotonicTime taken_at,
+                 const std::optional<HandOver>& hand_over = std::nullopt);
+  // What to tell the successor; to be called when no more orders are sent.
+  [[nodiscard]] HandOver MakeHandOver() const;
   // The backend servers that may be given work, if they differ from the roster written last. A
   // backend server gets work only after the roster that contains it has been written.
   [[nodiscard]] std::optional<Roster> RosterToWrite() const;
--- a/coordination/include/sapphirewheel/coordination/fleet_owner.h
+++ b/coordination/include/sapphirewheel/coordination/fleet_owner.h
@@ -25,6 +25,7 @@
 inline constexpr const char* kRoster = "roster";
 inline constexpr const char* kStartHorizon = "start-horizon";
 inline constexpr const char* kRoutes = "routes";
+inline constexpr const char* kHandOver = "hand-over";
 inline constexpr const char* kWaiting = "waiting";
 inline constexpr const char* kWavePrefix = "wave/";
 // The part of all rows that only the owner writes. It also holds the owner row, so that each write
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -60,11 +60,15 @@
   impl_->place_due = true;
 }
 
-void Dispatcher::SetRoster(const Roster& roster, MonotonicTime taken_at) {
+void Dispatcher::SetRoster(const Roster& roster, MonotonicTime taken_at,
+                           const std::optional<HandOver>& hand_over) {
   impl_->roster_pending = roster;
   for (auto& [id, entry] : impl_->roster_pending) {
     // The earlier owner may have been lost before it heard of a restart.
-    const MonotonicTime last = taken_at + impl_->LongestLeaseBound(kOrderDelivery);
+    MonotonicTime last = taken_at + impl_->LongestLeaseBound(kOrderDelivery);
+    if (hand_over && hand_over->uncertain.count(id) == 0) {
+      last = std::min(last, hand_over->runs_end_by);
+    }
     const MonotonicTime latest = std::max(last, entry.longer_lease_until.value_or(last));
     // A server that replied to the earlier owner may still list ends that nobody has seen, so it is
     // polled once, also when its runs are over because loading took long.
@@ -143,6 +147,22 @@
   impl_->place_due = true;
 }
 
+HandOver Dispatcher::MakeHandOver() const {
+  HandOver hand_over;
+  hand_over.runs_end_by = impl_->now_;
+  for (const auto& [id, entry] : impl_->roster_pending) hand_over.uncertain.insert(id);
+  const MonotonicTime usual = impl_->now_ + impl_->LeaseBound();
+  for (const auto& [id, backend] : impl_->backends) {
+    const MonotonicTime end = backend->HasRuns() ? impl_->RunsEndBy(*backend) : impl_->now_;
+    if (end > usual || !impl_->AllStartsConfirmed(*backend)) {
+      hand_over.uncertain.insert(id);
+    } else {
+      hand_over.runs_end_by = std::max(hand_over.runs_end_by, end);
+    }
+  }
+  return hand_over;
+}
+
 void Dispatcher::OnVmList(const std::vector<VmReport>& vms, MonotonicTime as_of,
                           MonotonicTime now) {
   std::map<VmId, const VmReport*> by_vm;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -198,6 +198,7 @@
   [[nodiscard]] MonotonicTime RunEndsBy(const BackendEntry& backend, const TaskKey& key);
   // The same for all runs of the backend server.
   [[nodiscard]] MonotonicTime RunsEndBy(const BackendEntry& backend);
+  [[nodiscard]] bool AllStartsConfirmed(const BackendEntry& backend);
   // The VM did not run the backend server at that time.
   static void RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of);
   void ForgetLateStarts(BackendEntry& backend) const;
--- a/coordination/src/dispatcher_unanswered.cc
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -96,6 +96,18 @@
   return end;
 }
 
+// Whether each start there was confirmed by the incarnation whose list is known, so that no other
+// one can have runs.
+bool Dispatcher::Impl::AllStartsConfirmed(const BackendEntry& backend) {
+  if (!backend.has_replied || backend.runs_in_unlisted) return false;
+  if (!backend.unanswered_starts.empty() || backend.longer_lease_until > now_) return false;
+  return std::none_of(backend.tasks.begin(), backend.tasks.end(), [&](const TaskKey& key) {
+    const TaskState& task = *FindOn(key, backend).task;
+    // A run that is being stopped may have been ordered so recently that its start has no reply.
+    return task.phase == TaskPhase::kStarting || now_ <= task.ordered_at + kOrderDelivery;
+  });
+}
+
 void Dispatcher::Impl::RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of) {
   for (auto& [run, start] : backend.unanswered_starts) {
     start.not_delivered = start.not_delivered || as_of > start.at + kOrderDelivery;
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -94,6 +94,40 @@
   return entries;
 }
 
+std::string FleetOwner::Impl::EncodeHandOver(const HandOver& hand_over) const {
+  boost::json::object row;
+  row["token"] = static_cast<std::int64_t>(lease.token().count());
+  row["runs_end_by"] = store_now.count() + (hand_over.runs_end_by - store_asked_at).count();
+  boost::json::array& uncertain = row["uncertain"].emplace_array();
+  for (const BackendId& id : hand_over.uncertain) uncertain.emplace_back(id.str());
+  return boost::json::serialize(row);
+}
+
+std::optional<HandOver> FleetOwner::Impl::DecodeHandOver(const std::string& text) const {
+  const auto row = ParseObject(text);
+  if (!row) return std::nullopt;
+  constexpr std::int64_t kMax = std::int64_t{1} << 53;
+  const auto token = RequireInt(row.value(), "token", 1, kMax);
+  const auto runs_end_by = RequireInt(row.value(), "runs_end_by", 1, kMax);
+  const auto* uncertain = row.value().if_contains("uncertain");
+  if (!token || !runs_end_by || uncertain == nullptr || !uncertain->is_array()) return std::nullopt;
+  // A later owner may have extended leases, and one of an older version tells nothing.
+  if (token.value() + 1 != static_cast<std::int64_t>(lease.token().count())) return std::nullopt;
+  HandOver hand_over;
+  hand_over.runs_end_by = store_read_at + Millis(runs_end_by.value() - store_now.count());
+  for (const auto& id : uncertain->get_array()) {
+    if (!id.is_string()) return std::nullopt;
+    hand_over.uncertain.insert(BackendId(std::string(id.get_string())));
+  }
+  return hand_over;
+}
+
+std::string FleetOwner::Impl::DescribeHandOver(MonotonicTime now) const {
+  if (!inherited_hand_over) return "hand-over=none";
+  return "hand-over=" + std::to_string((inherited_hand_over->runs_end_by - now).count()) +
+         "ms uncertain=" + std::to_string(inherited_hand_over->uncertain.size());
+}
+
 void FleetOwner::Impl::ApplyOwnedRow(const StoredRow& row) {
   const std::string& key = row.at.key;
   const std::string wave_prefix = rows::kWavePrefix;
@@ -112,6 +146,8 @@
   } else if (key == rows::kRoutes) {
     inherited_routes = RouteRecord::Decode(row.value);
     if (!inherited_routes) ReportEvent(NodeEvent::kJobUnreadable, "routes: " + row.value);
+  } else if (key == rows::kHandOver) {
+    inherited_hand_over = DecodeHandOver(row.value);
   } else if (key.rfind(wave_prefix, 0) == 0) {
     const auto number = std::atoll(key.c_str() + wave_prefix.size());
     wave_progress[number] = MaintenanceProgress::Decode(row.value);
@@ -207,7 +243,7 @@
   dispatcher_settings.token = lease.token();
   dispatcher = std::make_unique<Dispatcher>(dispatcher_settings, DispatcherHooks(), now);
   const Roster roster = roster_rows.Stored();
-  dispatcher->SetRoster(roster, taken_at);
+  dispatcher->SetRoster(roster, taken_at, inherited_hand_over);
   const bool complete = inherited_routes && inherited_routes->IsComplete(horizon_token);
   if (complete) dispatcher->SetRoutes(inherited_routes->routes);
   if (config) dispatcher->SetConfig(config);
@@ -233,7 +269,8 @@
   lease.MarkLoaded();
   ReportEvent(NodeEvent::kLoaded, "jobs=" + std::to_string(loaded_jobs.size()) +
                                       " backends=" + std::to_string(loaded_backends.size()) +
-                                      " roster=" + std::to_string(roster.size()) + " took " +
+                                      " roster=" + std::to_string(roster.size()) + " " +
+                                      DescribeHandOver(now) + " took " +
                                       std::to_string((now - taken_at).count()) + " ms");
   loaded_jobs.clear();
   loaded_backends.clear();
--- a/coordination/src/fleet_owner_state.h
+++ b/coordination/src/fleet_owner_state.h
@@ -84,6 +84,10 @@
   void ApplyOwnedRow(const StoredRow& row);
   [[nodiscard]] std::string EncodeRoster(const Roster& entries) const;
   [[nodiscard]] Roster DecodeRoster(const std::string& text) const;
+  [[nodiscard]] std::string EncodeHandOver(const HandOver& hand_over) const;
+  // Absent if the text is malformed, or is not of the last owner.
+  [[nodiscard]] std::optional<HandOver> DecodeHandOver(const std::string& text) const;
+  [[nodiscard]] std::string DescribeHandOver(MonotonicTime now) const;
   void StartRunning();
   // Absent for a removed row, or one that cannot be decoded.
   [[nodiscard]] std::optional<StoredJob> DecodeJobRow(const StoredRow& row) const;
@@ -196,6 +200,7 @@
   // any.
   std::optional<Epoch> horizon_token;
   std::optional<RouteRecord> inherited_routes;
+  std::optional<HandOver> inherited_hand_over;
   // The start horizon that was sent last. It is ahead of the newest revision seen by as many
   // revisions as there were between the last two renewals, so that most jobs need not wait for it.
   Revision horizon;
--- a/coordination/src/fleet_owner_write.cc
+++ b/coordination/src/fleet_owner_write.cc
@@ -114,6 +114,9 @@
   tx.expected.emplace_back(rows::Owner(), lease.revision());
   if (release) {
     tx.writes.emplace_back(rows::Owner(), lease.Release().row.Encode());
+    if (running && store_now.count() > 0) {
+      AddWrite(tx, rows::Owned(rows::kHandOver), EncodeHandOver(dispatcher->MakeHandOver()));
+    }
   } else if (renew) {
     tx.writes.emplace_back(rows::Owner(), lease.Renewal().row.Encode());
   }
--- a/coordination/tests/fleet_restart_schedule_test.cc
+++ b/coordination/tests/fleet_restart_schedule_test.cc
@@ -41,6 +41,17 @@
   }
 }
 
+// Stops the owner as planned, and starts its node again later.
+void StopOwner(FleetSim& sim) {
+  const int owner = sim.OwnerNode();
+  if (owner < 0) return;
+  sim.Trace(owner, "stopped");
+  sim.nodes[owner].entry->BeginStop();
+  constexpr std::int64_t kDrain = 2500;
+  sim.At(sim.now() + kDrain, [&sim, owner] { sim.KillNode(owner); });
+  sim.At(sim.now() + kDrain + sim.Draw(2000), [&sim, owner] { sim.StartNode(owner); });
+}
+
 }  // namespace
 
 TEST_GROUP(FleetRestartSchedule){};
@@ -64,3 +75,27 @@
     sim.At(sim.now() + 100 + sim.Draw(1500), [&sim] { KillOwner(sim); });
   });
 }
+
+// The same for an owner that stops as planned: it tells its successor which servers may have taken
+// a start that way, and of the others that the usual lease is enough.
+TEST(FleetRestartSchedule, TheOwnerStopsBeforeItKnowsOfARestart) {
+  constexpr int kLongestDown = 600;
+  constexpr int kConnectedFor = 200;
+  RunSeeds(QueuedCalls(), [](FleetSim& sim, int) {
+    RestartAndDisconnect(sim, kLongestDown, kConnectedFor);
+    sim.At(sim.now() + 100 + sim.Draw(1500), [&sim] { StopOwner(sim); });
+  });
+}
+
+// Guards against a successor that believes what the last but one owner told, although the last one
+// has extended leases since.
+TEST(FleetRestartSchedule, AnOwnerIsStoppedAndItsSuccessorKilled) {
+  constexpr int kLongestDown = 600;
+  constexpr int kConnectedFor = 200;
+  RunSeeds(QueuedCalls(), [](FleetSim& sim, int) {
+    sim.At(sim.now() + 100 + sim.Draw(1500), [&sim] { StopOwner(sim); });
+    sim.At(sim.now() + 500 + sim.Draw(1500),
+           [&sim] { RestartAndDisconnect(sim, kLongestDown, kConnectedFor); });
+    sim.At(sim.now() + 1500 + sim.Draw(2500), [&sim] { KillOwner(sim); });
+  });
+}
--- a/coordination/tests/fleet_takeover_schedule_test.cc
+++ b/coordination/tests/fleet_takeover_schedule_test.cc
@@ -1,5 +1,7 @@
 #include <cstdlib>
 #include <iostream>
+#include <set>
+#include <string>
 
 #include "fleet_sim.h"
 
@@ -185,3 +187,36 @@
   sim.RunUntil(20'000);
   for (const auto& it : sim.Violations()) FAIL(it.c_str());
 }
+
+// Guards against long-running tasks that are down for 12 s because their servers leave while the
+// owner is stopped as planned: a successor that did not know whether these servers had restarted
+// waited for the longest lease that they accept.
+TEST(FleetTakeoverSchedule, TasksOfServersThatLeaveDuringAPlannedStopAreBackInTime) {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 1;
+  FleetSim sim(settings);
+  sim.lease_expiry_forbidden = false;
+  sim.RunUntil(kLoadStart);
+  for (int n = 0; n < 8; ++n) sim.SubmitRandomJob();
+  sim.RunUntil(8000);
+  const int owner = sim.OwnerNode();
+  CHECK(owner >= 0);
+  sim.nodes[owner].entry->BeginStop();
+  sim.RunUntil(8300);
+  std::set<std::string> lost;
+  for (auto& [id, backend] : sim.backends) {
+    if (!id.str().ends_with("-0")) continue;
+    for (const auto& [task, run] : backend.running) lost.insert(task);
+  }
+  CHECK_FALSE(lost.empty());
+  constexpr std::int64_t kNever = 1'000'000;
+  for (const char* id : {"b0-0", "b1-0"}) sim.CrashBackend(BackendId(id), kNever, false);
+  // Time in which a long-running task has to be back at work.
+  constexpr std::int64_t kBack = 9000;
+  sim.RunUntil(8300 + kBack);
+  for (const auto& [id, backend] : sim.backends) {
+    for (const auto& [task, run] : backend.running) lost.erase(task);
+  }
+  for (const std::string& task : lost) FAIL(task.c_str());
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
