Bound the lease of a run that is listed before the reply to its start

Callers saw tasks of a server that had gone silent or left start elsewhere 11.6 s after their start and not 6.6 s after the last order to the server.

Cause: if a list showed a run before the reply to its start came, the owner counted the longest lease from the start on, as if an incarnation with another clock had started it, and never took that back. The list tells the clock of the incarnation that has the run, so the lease is now compared with it as it is for the reply to a start.

Red before: dispatcher_recovery_test.cc:68: error: Failure in TEST(DispatcherRecovery, ARunThatIsListedBeforeTheReplyToItsStartEndsByTheUsualLease) expected <2 (0x2)> but was <1 (0x1)> DispatcherRestart.ARunThatTheNextIncarnationListsBeforeTheReplyEndsByTheLongestLease guards the other side; it was not seen to fail, as the reading of the clock bounds such a lease too.

--- a/coordination/src/dispatcher_leases.cc
+++ b/coordination/src/dispatcher_leases.cc
@@ -14,6 +14,10 @@
   return BackendClock(backend.clock->count() + passed + settings.lease.count());
 }
 
+bool Dispatcher::Impl::IsByOtherClock(const BackendEntry& backend, BackendClock until) const {
+  return until.count() > NewLeaseEnd(backend).count() + kLeaseSlack.count();
+}
+
 void Dispatcher::Impl::ExtendLease(BackendEntry& backend) {
   backend.lease_end = std::max(backend.lease_end, now_ + LeaseBound());
 }
@@ -130,8 +134,9 @@
     KeepLongerLease(backend, now_ + LongestLeaseBound(kMaxOrderDelay));
   }
   if (!backend.clock) return;
-  const bool other_clock = until->count() > NewLeaseEnd(backend).count() + kLeaseSlack.count();
-  if (other_clock) ExpectLongerLease(backend, now_ + kMaxOrderDelay, *until);
+  if (IsByOtherClock(backend, *until)) {
+    ExpectLongerLease(backend, now_ + kMaxOrderDelay, *until);
+  }
 }
 
 std::string Dispatcher::Impl::DescribeIncarnation(const BackendEntry& backend) const {
--- a/coordination/src/dispatcher_runs.cc
+++ b/coordination/src/dispatcher_runs.cc
@@ -125,9 +125,12 @@
   if (ref && ref.task->backend == &backend && ref.task->run == row.run) {
     TaskState& task = *ref.task;
     if (task.phase == TaskPhase::kStarting) {
-      // The order that started it may have granted it a lease by the clock of an earlier
-      // incarnation.
-      backend.lease_end = RunsEndBy(backend);
+      const bool repeated = backend.unanswered_starts.count({row.task, row.run}) > 0;
+      if (repeated || IsByOtherClock(backend, task.lease_until)) {
+        backend.lease_end = RunsEndBy(backend);
+      } else {
+        RecordLease(backend, task.lease_until, backend.clock);
+      }
       task.phase = TaskPhase::kRunning;
       task.confirmed_at = now_;
       task.last_progress = now_;
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -162,6 +162,9 @@
 
   // dispatcher_leases.cc
   [[nodiscard]] BackendClock NewLeaseEnd(const BackendEntry& backend) const;
+  // Whether an order with this lease was meant for an earlier incarnation than the one whose clock
+  // is known.
+  [[nodiscard]] bool IsByOtherClock(const BackendEntry& backend, BackendClock until) const;
   void ExtendLease(BackendEntry& backend);
   void RecordLease(BackendEntry& backend, BackendClock until,
                    const std::optional<BackendClock>& clock);
--- a/coordination/tests/dispatcher_hand_over_test.cc
+++ b/coordination/tests/dispatcher_hand_over_test.cc
@@ -81,7 +81,11 @@
   silent.clear();
   dispatcher->OnStart(starts[0], {OrderOutcome::kUnknown, std::nullopt}, Now());
   dispatcher->CancelJob(JobId("j1"), Now());
+  Advance(100);
+  LONGS_EQUAL(1, stops.size());
+  dispatcher->OnStop(stops[0], {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
   Advance(2000);
+  LONGS_EQUAL(0, dispatcher->Backends()[0].tasks);
   CHECK(IsUncertain("b1"));
 }
 
--- a/coordination/tests/dispatcher_recovery_test.cc
+++ b/coordination/tests/dispatcher_recovery_test.cc
@@ -44,6 +44,30 @@
   CHECK(starts[1].backend == BackendId("b2"));
 }
 
+// Guards against tasks that are down for 12 s and not 7 s: a list showed the run before the reply
+// to its start came, and was taken for that of an incarnation with another clock.
+TEST(DispatcherRecovery, ARunThatIsListedBeforeTheReplyToItsStartEndsByTheUsualLease) {
+  AddBackend("b1");
+  Advance(300);
+  AddJob("j1", {Step(1, 1000)});
+  silent.insert(BackendId("b1"));
+  Advance(20);
+  silent.clear();
+  LONGS_EQUAL(1, starts.size());
+  const StartOrder start = starts[0];
+  running[start.backend].push_back({start.task, start.run, "", 10, 0});
+  const int polls_before = polled[BackendId("b1")];
+  Advance(500);
+  CHECK(polled[BackendId("b1")] > polls_before);
+  dispatcher->OnStart(start, {OrderOutcome::kDone, BackendClock(now_ms)}, Now());
+  silent.insert(BackendId("b1"));
+  AddBackend("b2");
+  // The owner extends its lease for some time before it counts as silent.
+  constexpr int kTrusted = 2200;
+  Advance(kAfterUsualLease + kTrusted);
+  LONGS_EQUAL(2, starts.size());
+}
+
 // Guards against a second run of a task after a change of owner: a roster that is being written
 // says that a server has no more runs, the server replies and gets a task, and the successor
 // believes the roster.
--- a/coordination/tests/dispatcher_restart_test.cc
+++ b/coordination/tests/dispatcher_restart_test.cc
@@ -240,6 +240,34 @@
   }
 }
 
+// The same if a list of that incarnation shows the run before the reply to its start comes.
+TEST(DispatcherRestart, ARunThatTheNextIncarnationListsBeforeTheReplyEndsByTheLongestLease) {
+  now_ms = 100'000;
+  AddBackend("b1");
+  Advance(500);
+  AddJob("j1", {Step(1, 1000)});
+  silent.insert(BackendId("b1"));
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  const int sent = now_ms;
+  running[BackendId("b1")].push_back({starts[0].task, starts[0].run, "", 10, 0});
+  constexpr std::int64_t kClock = 200;
+  for (const PollOrder& it : AdvanceWithoutReplies(400)) {
+    PollReply reply;
+    reply.outcome = OrderOutcome::kDone;
+    reply.clock = BackendClock(kClock);
+    reply.started_at = UnixMillis(2);
+    reply.running = running[BackendId("b1")];
+    dispatcher->OnPoll(it, reply, Now(), Now());
+  }
+  AddBackend("b2");
+  started_at = 2;
+  constexpr int kLongEnough = 30'000;
+  while (starts.size() == 1 && now_ms < sent + kLongEnough) Advance(100);
+  LONGS_EQUAL(2, starts.size());
+  CHECK(now_ms - sent >= kLongestLease);
+}
+
 // Guards against two runs of a task: its first start had no reply, the repeated one was confirmed,
 // and the next incarnation, which is silent, carries the first one out late.
 TEST(DispatcherRestart, ALateCopyOfAConfirmedStartIsAwaitedOnASilentNextIncarnation) {
