Tell the next owner which draining servers get no further starts

The successor has to assume that a silent server has restarted and taken a start of which nobody has heard, although the server was draining and got no starts.

The roster now says of a draining server that it gets no further starts once all were confirmed (closed_by with the owner's token). From the moment that such a roster is sent, the server gets none until one without the field is written. The owner with the next token counts the runs there by the usual lease. An owner of the version before ignores the field and may leave it in a row, so the token must be that of the last owner.

--- a/coordination/include/sapphirewheel/coordination/dispatcher.h
+++ b/coordination/include/sapphirewheel/coordination/dispatcher.h
@@ -169,6 +169,9 @@
   // An order by the clock of an earlier incarnation may have granted a longer lease than the usual
   // one, until then.
   std::optional<MonotonicTime> longer_lease_until = std::nullopt;
+  // The owner that sends it no further starts, and to which all earlier ones were confirmed. Its
+  // successor need not expect runs of an incarnation that nobody has heard of.
+  std::optional<Epoch> closed_by = std::nullopt;
   bool operator==(const RosterEntry&) const = default;
 };
 using Roster = std::map<BackendId, RosterEntry>;
--- a/coordination/src/dispatcher.cc
+++ b/coordination/src/dispatcher.cc
@@ -66,6 +66,11 @@
   for (auto& [id, entry] : impl_->roster_pending) {
     // The earlier owner may have been lost before it heard of a restart.
     MonotonicTime last = taken_at + impl_->LongestLeaseBound(kOrderDelivery);
+    // An owner in between may have sent it starts, or be of a version that does not know the field.
+    const bool closed =
+        entry.closed_by && entry.closed_by->count() + 1 == impl_->settings.token.count();
+    if (closed) last = taken_at + impl_->LeaseBound();
+    entry.closed_by.reset();
     if (hand_over && hand_over->uncertain.count(id) == 0) {
       last = std::min(last, hand_over->runs_end_by);
     }
@@ -84,7 +89,7 @@
 }
 
 // The state of the roster is the same at most calls, so it is compared before it is copied.
-bool Dispatcher::Impl::IsRosterWritten() const {
+bool Dispatcher::Impl::IsRosterWritten() {
   auto written = roster_written.begin();
   auto pending = roster_pending.begin();
   const auto listed = [](auto& it, const Roster& roster, const BackendId& id) {
@@ -105,13 +110,15 @@
     const bool longer_lease = backend->longer_lease_until > now_;
     if (longer_lease || entry.longer_lease_until || entry.runs_end_by) return false;
     if (entry.pool != backend->report.pool || entry.vm != backend->report.vm) return false;
+    if ((entry.closed_by == settings.token) != MayClose(*backend)) return false;
     ++n;
   }
   return n == roster_written.size() && pending_seen == roster_pending.size();
 }
 
 std::optional<Roster> Dispatcher::RosterToWrite() const {
-  const bool certain = impl_->roster_ever_written && impl_->given_up.empty();
+  const bool certain =
+      impl_->roster_ever_written && impl_->given_up.empty() && impl_->closing.empty();
   if (certain && impl_->IsRosterWritten()) return std::nullopt;
   Roster roster = impl_->roster_pending;
   for (const auto& [id, backend] : impl_->backends) {
@@ -122,6 +129,7 @@
       if (backend->longer_lease_until > impl_->now_) {
         entry.longer_lease_until = backend->longer_lease_until;
       }
+      if (impl_->MayClose(*backend)) entry.closed_by = impl_->settings.token;
     } else if (backend->HasRuns()) {
       roster[id] = {backend->report.pool, impl_->RunsEndBy(*backend), backend->report.vm,
                     std::nullopt};
@@ -136,11 +144,15 @@
     const auto it = roster.find(id);
     if (it == roster.end() || it->second.runs_end_by) impl_->given_up.insert(id);
   }
+  for (const auto& [id, entry] : roster) {
+    if (entry.closed_by) impl_->closing.insert(id);
+  }
   impl_->UpdateInRoster();
 }
 
 void Dispatcher::RosterWritten(const Roster& roster) {
   impl_->given_up.clear();
+  impl_->closing.clear();
   impl_->roster_written = roster;
   impl_->roster_ever_written = true;
   impl_->UpdateInRoster();
--- a/coordination/src/dispatcher_choice.cc
+++ b/coordination/src/dispatcher_choice.cc
@@ -107,7 +107,7 @@
     return false;
   }
   if (backend.report.draining || now_ < backend.unusable_until) return false;
-  if (InEvacuation(backend) || !backend.in_roster) return false;
+  if (InEvacuation(backend) || !backend.in_roster || !backend.open_to_starts) return false;
   return std::none_of(backend.orphans.begin(), backend.orphans.end(),
                       [](const auto& it) { return it.second.unknown_size; });
 }
--- a/coordination/src/dispatcher_entries.h
+++ b/coordination/src/dispatcher_entries.h
@@ -207,6 +207,8 @@
   bool registered = true;
   // The last written roster lets it have new work.
   bool in_roster = false;
+  // No roster that was sent says that it gets no further starts.
+  bool open_to_starts = true;
   // The platform has ended it, and its entry has not been seen since.
   bool said_to_have_ended = false;
   // The present incarnation has replied to a poll of this owner, which fences earlier owners there.
--- a/coordination/src/dispatcher_orders.cc
+++ b/coordination/src/dispatcher_orders.cc
@@ -55,6 +55,8 @@
   const auto it = roster_written.find(backend.report.id);
   const bool listed = it != roster_written.end() && !it->second.runs_end_by;
   backend.in_roster = listed && given_up.count(backend.report.id) == 0;
+  const bool closed = listed && it->second.closed_by == settings.token;
+  backend.open_to_starts = !closed && closing.count(backend.report.id) == 0;
 }
 
 void Dispatcher::Impl::UpdateInRoster() {
@@ -215,7 +217,7 @@
       // Only after a poll: another incarnation would take the lease as a time on its own clock.
       if (backend.failing || !backend.has_replied || !backend.clock) continue;
       // A repeated start extends the lease, so the roster must not say that it ends.
-      if (!backend.in_roster || !MayPlace()) continue;
+      if (!backend.in_roster || !backend.open_to_starts || !MayPlace()) continue;
       task.lease_until = NewLeaseEnd(backend);
       SendStart(key, ref);
     } else if (stopping) {
--- a/coordination/src/dispatcher_state.h
+++ b/coordination/src/dispatcher_state.h
@@ -202,6 +202,8 @@
   // The same for all runs of the backend server.
   [[nodiscard]] MonotonicTime RunsEndBy(const BackendEntry& backend);
   [[nodiscard]] bool AllStartsConfirmed(const BackendEntry& backend);
+  // Whether the roster may say that it gets no further starts.
+  [[nodiscard]] bool MayClose(const BackendEntry& backend);
   // The VM did not run the backend server at that time.
   static void RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of);
   void ForgetLateStarts(BackendEntry& backend) const;
@@ -213,8 +215,8 @@
   // elsewhere.
   [[nodiscard]] bool AwaitsFirstList(const BackendId& id) const;
   // Whether the roster is surely the one that was written last.
-  [[nodiscard]] bool IsRosterWritten() const;
-  // Sets BackendEntry::in_roster, of one server or of all.
+  [[nodiscard]] bool IsRosterWritten();
+  // Sets BackendEntry::in_roster and open_to_starts, of one server or of all.
   void UpdateInRoster(BackendEntry& backend) const;
   void UpdateInRoster();
   // Whether a long-running task there is not ready yet.
@@ -472,6 +474,8 @@
   bool routes_ever_written = false;
   // Backend servers that a roster without a confirmed write gives up.
   std::set<BackendId> given_up;
+  // Backend servers that such a roster says to get no further starts.
+  std::set<BackendId> closing;
   // Sequence number of the last change of any job's progress.
   std::uint64_t last_change = 0;
   // Changed jobs by the sequence number of their oldest unwritten change.
--- a/coordination/src/dispatcher_unanswered.cc
+++ b/coordination/src/dispatcher_unanswered.cc
@@ -108,6 +108,11 @@
   });
 }
 
+bool Dispatcher::Impl::MayClose(const BackendEntry& backend) {
+  if (!backend.report.draining || !AllStartsConfirmed(backend)) return false;
+  return !backend.HasRuns() || RunsEndBy(backend) <= now_ + LeaseBound();
+}
+
 void Dispatcher::Impl::RecordVmWithoutServer(BackendEntry& backend, MonotonicTime as_of) {
   for (auto& [run, start] : backend.unanswered_starts) {
     start.not_delivered = start.not_delivered || as_of > start.at + kOrderDelivery;
--- a/coordination/src/fleet_owner_load.cc
+++ b/coordination/src/fleet_owner_load.cc
@@ -11,6 +11,8 @@
 constexpr Millis kFollowWait{1900};
 // Index of a roster entry's field with the end of a longer lease.
 constexpr std::size_t kLongerLeaseField = 3;
+// Index of the field with the token of the owner that sends no further starts.
+constexpr std::size_t kClosedByField = 4;
 
 }  // namespace
 
@@ -65,6 +67,10 @@
     };
     put(1, entry.runs_end_by);
     put(kLongerLeaseField, entry.longer_lease_until);
+    if (entry.closed_by) {
+      value.resize(kClosedByField + 1);
+      value[kClosedByField] = static_cast<std::int64_t>(entry.closed_by->count());
+    }
     row[id.str()] = std::move(value);
   }
   return boost::json::serialize(row);
@@ -89,6 +95,9 @@
     if (fields.size() > 2 && fields[2].is_string()) {
       entry.vm = VmId(std::string(fields[2].get_string()));
     }
+    if (fields.size() > kClosedByField && fields[kClosedByField].is_int64()) {
+      entry.closed_by = Epoch(static_cast<std::uint64_t>(fields[kClosedByField].get_int64()));
+    }
     entries[BackendId(std::string(id))] = entry;
   }
   return entries;
--- a/coordination/tests/dispatcher_hand_over_test.cc
+++ b/coordination/tests/dispatcher_hand_over_test.cc
@@ -3,7 +3,8 @@
 using namespace sapphirewheel;           // NOLINT(google-build-using-namespace)
 using namespace sapphirewheel::testing;  // NOLINT(google-build-using-namespace)
 
-// What an owner that ends as planned tells its successor of the runs that it has started.
+// What an owner tells its successor of the runs that it has started, when it ends as planned and in
+// the roster.
 namespace {
 
 class HandOverFixture : public DispatcherFixture {
@@ -12,6 +13,37 @@
     return dispatcher->MakeHandOver().uncertain.count(BackendId(id)) > 0;
   }
 
+  void Register(const char* id, bool draining) {
+    BackendReport report;
+    report.id = BackendId(id);
+    report.pool = PoolId("p");
+    report.capacity = kServer;
+    report.started_at = UnixMillis(started_at);
+    report.draining = draining;
+    dispatcher->UpsertBackend(report, Now());
+  }
+
+  // Whether the roster says that the server gets no further starts.
+  [[nodiscard]] bool IsClosed(const char* id) const {
+    const auto roster = dispatcher->RosterToWrite();
+    CHECK(roster.has_value());
+    return roster->at(BackendId(id)).closed_by.has_value();
+  }
+
+  // Becomes the owner after one with token 1 that has closed b1, which is silent, and advances the
+  // time.
+  void TakeOverClosed(std::uint64_t token, int ms) {
+    MakeDispatcher(token);
+    starts.clear();
+    RosterEntry closed{PoolId("p"), std::nullopt};
+    closed.closed_by = Epoch(1);
+    dispatcher->SetRoster(
+        {{BackendId("b1"), closed}, {BackendId("b2"), {PoolId("p"), std::nullopt}}}, Now());
+    AddBackend("b2");
+    AddJob("j1", {Step(1, 1000)}, "", true);
+    Advance(ms);
+  }
+
   // The owner ends, and its successor finds b1 silent and no longer registered.
   void TakeOver() {
     const HandOver hand_over = dispatcher->MakeHandOver();
@@ -141,3 +173,59 @@
   CHECK(dispatcher->MakeHandOver().runs_end_by <= Now());
   CHECK_FALSE(IsUncertain("b1"));
 }
+
+// Guards against tasks that are down for longer than they need to be after the owner of a draining
+// server was killed.
+TEST(DispatcherHandOver, RunsOfAClosedServerAreAwaitedForTheUsualLease) {
+  TakeOverClosed(2, kAfterUsualLease);
+  LONGS_EQUAL(1, starts.size());
+}
+
+// Guards against two runs of a task: the owner in between may have sent starts to the server.
+TEST(DispatcherHandOver, OnlyTheNextOwnerTakesAServerForClosed) {
+  TakeOverClosed(3, kAfterUsualLease);
+  LONGS_EQUAL(0, starts.size());
+  Advance(kAfterLongestLease - kAfterUsualLease);
+  LONGS_EQUAL(1, starts.size());
+}
+
+TEST(DispatcherHandOver, ADrainingServerIsClosedOnceAllItsStartsAreConfirmed) {
+  AddBackend("b1");
+  Advance(300);
+  silent.insert(BackendId("b1"));
+  AddJob("j1", {Step(1, 1000)});
+  Advance(20);
+  LONGS_EQUAL(1, starts.size());
+  Register("b1", true);
+  CHECK(!dispatcher->RosterToWrite().has_value());
+  silent.clear();
+  Confirm(starts[0]);
+  now_ms += 1000;
+  dispatcher->Tick(Now(), false);
+  CHECK(IsClosed("b1"));
+}
+
+// Guards against two runs of a task: the successor would not expect the start.
+TEST(DispatcherHandOver, AServerThatIsBeingClosedGetsNoStart) {
+  AddBackend("b1");
+  Advance(300);
+  Register("b1", true);
+  CHECK(IsClosed("b1"));
+  dispatcher->RosterSent(*dispatcher->RosterToWrite());
+  // It has restarted under its id.
+  started_at = 2;
+  Register("b1", false);
+  AddJob("j1", {Step(1, 1000)});
+  const auto advance_without_roster = [&] {
+    for (int n = 0; n < 20; ++n) {
+      for (const PollOrder& it : AdvanceWithoutReplies(20)) ReplyTo(it);
+      if (const auto routes = dispatcher->RoutesToWrite()) dispatcher->RoutesWritten(*routes);
+    }
+  };
+  advance_without_roster();
+  LONGS_EQUAL(0, starts.size());
+  CHECK_FALSE(IsClosed("b1"));
+  dispatcher->RosterWritten(*dispatcher->RosterToWrite());
+  advance_without_roster();
+  LONGS_EQUAL(1, starts.size());
+}
--- a/coordination/tests/fleet_restart_schedule_test.cc
+++ b/coordination/tests/fleet_restart_schedule_test.cc
@@ -18,15 +18,19 @@
 }
 
 // Restarts half of the backend servers under their ids while jobs are handed in, and disconnects
-// each for some seconds up to `connected_for` after its return.
-void RestartAndDisconnect(FleetSim& sim, int longest_down, int connected_for) {
+// each for some seconds up to `connected_for` after its return. Each drains before, for up to
+// `longest_drain` if that is not 0.
+void RestartAndDisconnect(FleetSim& sim, int longest_down, int connected_for,
+                          int longest_drain = 0) {
   // Nobody can extend the leases of the disconnected servers.
   sim.lease_expiry_forbidden = false;
   constexpr int kJobs = 8;
   for (int n = 0; n < kJobs; ++n) sim.SubmitRandomJob();
   for (auto& [id, backend] : sim.backends) {
     if (sim.Draw(2) == 0) continue;
-    sim.At(sim.now() + 10 + sim.Draw(150), [&sim, id = id, longest_down, connected_for] {
+    const int drain = longest_drain > 0 ? 1 + sim.Draw(longest_drain) : 0;
+    if (drain > 0) sim.SetDraining(id);
+    sim.At(sim.now() + drain + 10 + sim.Draw(150), [&sim, id = id, longest_down, connected_for] {
       if (!sim.backends.at(id).alive) return;
       const std::int64_t down_for = 100 + sim.Draw(longest_down);
       sim.CrashBackend(id, down_for, true, sim.Draw(3000));
@@ -99,3 +103,16 @@
     sim.At(sim.now() + 1500 + sim.Draw(2500), [&sim] { KillOwner(sim); });
   });
 }
+
+// Guards against two runs of a task: a roster said of a draining server that it gets no further
+// starts, and the server restarted under its id and got one.
+TEST(FleetRestartSchedule, DrainingServersRestartAndOwnersAreKilled) {
+  constexpr int kLongestDown = 600;
+  constexpr int kConnectedFor = 1500;
+  constexpr int kLongestDrain = 1000;
+  RunSeeds(QueuedCalls(), [](FleetSim& sim, int) {
+    RestartAndDisconnect(sim, kLongestDown, kConnectedFor, kLongestDrain);
+    sim.At(sim.now() + 100 + sim.Draw(1500), [&sim] { KillOwner(sim); });
+    sim.At(sim.now() + 1000 + sim.Draw(4000), [&sim] { KillOwner(sim); });
+  });
+}
--- a/coordination/tests/fleet_takeover_schedule_test.cc
+++ b/coordination/tests/fleet_takeover_schedule_test.cc
@@ -220,3 +220,36 @@
   for (const std::string& task : lost) FAIL(task.c_str());
   for (const auto& it : sim.Violations()) FAIL(it.c_str());
 }
+
+// The same for an owner that is killed: it has told its successor that the servers, which drain,
+// get no further starts.
+TEST(FleetTakeoverSchedule, TasksOfDrainingServersAreBackInTimeAfterTheOwnerIsKilled) {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 1;
+  FleetSim sim(settings);
+  sim.lease_expiry_forbidden = false;
+  sim.RunUntil(kLoadStart);
+  for (int n = 0; n < 8; ++n) sim.SubmitRandomJob();
+  sim.RunUntil(8000);
+  for (const char* id : {"b0-0", "b1-0"}) sim.SetDraining(BackendId(id));
+  sim.RunUntil(8150);
+  const int owner = sim.OwnerNode();
+  CHECK(owner >= 0);
+  sim.KillNode(owner);
+  std::set<std::string> lost;
+  for (const char* id : {"b0-0", "b1-0"}) {
+    for (const auto& [task, run] : sim.backends.at(BackendId(id)).running) lost.insert(task);
+  }
+  CHECK_FALSE(lost.empty());
+  constexpr std::int64_t kNever = 1'000'000;
+  for (const char* id : {"b0-0", "b1-0"}) sim.CrashBackend(BackendId(id), kNever, false);
+  while (sim.OwnerNode() < 0) sim.RunUntil(sim.now() + 10);
+  // Time in which a long-running task has to be back at work once there is an owner.
+  constexpr std::int64_t kBack = 9000;
+  sim.RunUntil(sim.now() + kBack);
+  for (const auto& [id, backend] : sim.backends) {
+    for (const auto& [task, run] : backend.running) lost.erase(task);
+  }
+  for (const std::string& task : lost) FAIL(task.c_str());
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
