--- a/coordination/tests/dispatcher_hand_over_test.cc
+++ b/coordination/tests/dispatcher_hand_over_test.cc
@@ -13,6 +13,16 @@
     return dispatcher->MakeHandOver().uncertain.count(BackendId(id)) > 0;
   }
 
+  // Orders the start of the only task of job j1 on b1, which does not reply, and advances the time.
+  void OrderStart(int ms) {
+    AddBackend("b1");
+    Advance(300);
+    silent.insert(BackendId("b1"));
+    AddJob("j1", {Step(1, 1000)});
+    Advance(ms);
+    LONGS_EQUAL(1, starts.size());
+  }
+
   void Register(const char* id, bool draining) {
     BackendReport report;
     report.id = BackendId(id);
@@ -78,12 +88,7 @@
 
 // Guards against two runs of a task: the start may reach the next incarnation of the server.
 TEST(DispatcherHandOver, AStartOnTheWayIsAwaitedForTheLongestLease) {
-  AddBackend("b1");
-  Advance(300);
-  silent.insert(BackendId("b1"));
-  AddJob("j1", {Step(1, 1000)});
-  Advance(60);
-  LONGS_EQUAL(1, starts.size());
+  OrderStart(60);
   TakeOver();
   Advance(kAfterUsualLease);
   LONGS_EQUAL(0, starts.size());
@@ -93,23 +98,13 @@
 
 // The same if the run is already being stopped, and the reply to its start is awaited.
 TEST(DispatcherHandOver, AStartOnTheWayOfACancelledJobIsNotCertain) {
-  AddBackend("b1");
-  Advance(300);
-  silent.insert(BackendId("b1"));
-  AddJob("j1", {Step(1, 1000)});
-  Advance(60);
-  LONGS_EQUAL(1, starts.size());
+  OrderStart(60);
   dispatcher->CancelJob(JobId("j1"), Now());
   CHECK(IsUncertain("b1"));
 }
 
 TEST(DispatcherHandOver, AStartWithoutAReplyIsNotCertain) {
-  AddBackend("b1");
-  Advance(300);
-  silent.insert(BackendId("b1"));
-  AddJob("j1", {Step(1, 1000)});
-  Advance(60);
-  LONGS_EQUAL(1, starts.size());
+  OrderStart(60);
   silent.clear();
   dispatcher->OnStart(starts[0], {OrderOutcome::kUnknown, std::nullopt}, Now());
   dispatcher->CancelJob(JobId("j1"), Now());
@@ -146,12 +141,7 @@
 
 // Guards against two runs of a task: the server has restarted and has been given a longer lease.
 TEST(DispatcherHandOver, AServerWithALongerLeaseIsNotCertain) {
-  AddBackend("b1");
-  Advance(300);
-  silent.insert(BackendId("b1"));
-  AddJob("j1", {Step(1, 1000)});
-  Advance(60);
-  LONGS_EQUAL(1, starts.size());
+  OrderStart(60);
   // By the clock of another incarnation.
   dispatcher->OnStart(starts[0], {OrderOutcome::kDone, BackendClock(0)}, Now());
   now_ms += 1000;
@@ -190,12 +180,7 @@
 }
 
 TEST(DispatcherHandOver, ADrainingServerIsClosedOnceAllItsStartsAreConfirmed) {
-  AddBackend("b1");
-  Advance(300);
-  silent.insert(BackendId("b1"));
-  AddJob("j1", {Step(1, 1000)});
-  Advance(20);
-  LONGS_EQUAL(1, starts.size());
+  OrderStart(20);
   Register("b1", true);
   CHECK(!dispatcher->RosterToWrite().has_value());
   silent.clear();
--- a/coordination/tests/fleet_takeover_schedule_test.cc
+++ b/coordination/tests/fleet_takeover_schedule_test.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "fleet_sim.h"
 
@@ -108,6 +109,30 @@
   }
 }
 
+FleetSim::Settings LongRunningJobs() {
+  FleetSim::Settings settings;
+  settings.long_running_jobs = 1;
+  return settings;
+}
+
+// Hands in some jobs and runs until their tasks are at work.
+void RunLongRunningJobs(FleetSim& sim) {
+  sim.lease_expiry_forbidden = false;
+  sim.RunUntil(kLoadStart);
+  for (int n = 0; n < 8; ++n) sim.SubmitRandomJob();
+  sim.RunUntil(8000);
+}
+
+// Checks that each of these tasks runs at that time.
+void CheckBackBy(FleetSim& sim, std::set<std::string> lost, std::int64_t at) {
+  sim.RunUntil(at);
+  for (const auto& [id, backend] : sim.backends) {
+    for (const auto& [task, run] : backend.running) lost.erase(task);
+  }
+  for (const std::string& task : lost) FAIL(task.c_str());
+  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+}
+
 }  // namespace
 
 TEST_GROUP(FleetTakeoverSchedule){};
@@ -192,13 +217,8 @@
 // owner is stopped as planned: a successor that did not know whether these servers had restarted
 // waited for the longest lease that they accept.
 TEST(FleetTakeoverSchedule, TasksOfServersThatLeaveDuringAPlannedStopAreBackInTime) {
-  FleetSim::Settings settings;
-  settings.long_running_jobs = 1;
-  FleetSim sim(settings);
-  sim.lease_expiry_forbidden = false;
-  sim.RunUntil(kLoadStart);
-  for (int n = 0; n < 8; ++n) sim.SubmitRandomJob();
-  sim.RunUntil(8000);
+  FleetSim sim(LongRunningJobs());
+  RunLongRunningJobs(sim);
   const int owner = sim.OwnerNode();
   CHECK(owner >= 0);
   sim.nodes[owner].entry->BeginStop();
@@ -213,24 +233,14 @@
   for (const char* id : {"b0-0", "b1-0"}) sim.CrashBackend(BackendId(id), kNever, false);
   // Time in which a long-running task has to be back at work.
   constexpr std::int64_t kBack = 9000;
-  sim.RunUntil(8300 + kBack);
-  for (const auto& [id, backend] : sim.backends) {
-    for (const auto& [task, run] : backend.running) lost.erase(task);
-  }
-  for (const std::string& task : lost) FAIL(task.c_str());
-  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+  CheckBackBy(sim, std::move(lost), 8300 + kBack);
 }
 
 // The same for an owner that is killed: it has told its successor that the servers, which drain,
 // get no further starts.
 TEST(FleetTakeoverSchedule, TasksOfDrainingServersAreBackInTimeAfterTheOwnerIsKilled) {
-  FleetSim::Settings settings;
-  settings.long_running_jobs = 1;
-  FleetSim sim(settings);
-  sim.lease_expiry_forbidden = false;
-  sim.RunUntil(kLoadStart);
-  for (int n = 0; n < 8; ++n) sim.SubmitRandomJob();
-  sim.RunUntil(8000);
+  FleetSim sim(LongRunningJobs());
+  RunLongRunningJobs(sim);
   for (const char* id : {"b0-0", "b1-0"}) sim.SetDraining(BackendId(id));
   sim.RunUntil(8150);
   const int owner = sim.OwnerNode();
@@ -246,10 +256,5 @@
   while (sim.OwnerNode() < 0) sim.RunUntil(sim.now() + 10);
   // Time in which a long-running task has to be back at work once there is an owner.
   constexpr std::int64_t kBack = 9000;
-  sim.RunUntil(sim.now() + kBack);
-  for (const auto& [id, backend] : sim.backends) {
-    for (const auto& [task, run] : backend.running) lost.erase(task);
-  }
-  for (const std::string& task : lost) FAIL(task.c_str());
-  for (const auto& it : sim.Violations()) FAIL(it.c_str());
+  CheckBackBy(sim, std::move(lost), sim.now() + kBack);
 }
